--- a/pkg/bundle/model.go
+++ b/pkg/bundle/model.go
@@ -41,10 +41,22 @@
 	Routes    map[string]Route
 	Accounts  map[string]Account
 	Keys      map[string]Key
+	// Callers bounds what callers may send to VMs that dispatch directly.
+	Callers CallerLimits
 
 	index *index
 }
 
+// CallerLimits bound what a caller may send, and how long it may take. A zero value sets no bound.
+type CallerLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout bounds the time from a request's first byte to the end of its header.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
+}
+
 // Fleet holds the budgets that count across all VMs.
 type Fleet struct {
 	// LoadsPerSecond bounds the adapter loads started a second.
@@ -74,6 +86,22 @@
 	Model string
 	// QueueLimit bounds the requests that wait for the group.
 	QueueLimit int
+	// HealthPath answers 200 while an endpoint of the group considers itself healthy.
+	HealthPath string
+	// MaxConnections bounds the connections that one endpoint takes from all VMs; 0 means no bound.
+	MaxConnections int
+	// Engine holds what the engines of the group have in common; nil for services.
+	Engine *Engine
+}
+
+// Engine holds what the engines of a group have in common.
+type Engine struct {
+	// Slots is the number of requests that an engine runs at once.
+	Slots int
+	// CacheTokens is the memory for prompts and answers, in tokens.
+	CacheTokens int
+	// MaxAdapters is the number of adapters that an engine holds at once.
+	MaxAdapters int
 }
 
 // Endpoint is one model engine or plain service.
@@ -119,6 +147,31 @@
 	// Cost is the tokens that one call is charged.
 	Cost    int64
 	Timeout time.Duration
+
+	// Host and Prefix select the requests of a route that is dispatched directly: those to the host
+	// whose path begins with the prefix. The longest prefix wins. Method and Path are empty then.
+	Host   string
+	Prefix string
+	// Backends share the requests of the route by weight. If empty, Group gets all of them.
+	Backends []Backend
+	// Stream says that answers are server-sent events.
+	Stream bool
+	// Resumable says that a stream can be resumed at another endpoint after its last event.
+	Resumable bool
+	// MaxAttempts bounds the endpoints that one request is sent to; 0 means 1.
+	MaxAttempts int
+	// Objective is the time within which an answer, or the first event of a stream, should arrive.
+	Objective time.Duration
+	// GapObjective is the longest time between two events of a stream that is still on time.
+	GapObjective time.Duration
+	// Priority ranks the route's requests; 0 is the most urgent.
+	Priority int
+}
+
+// Backend is a group that gets a share of a route's requests.
+type Backend struct {
+	Group  string
+	Weight float64
 }
 
 // Account is a client account.
@@ -130,6 +183,14 @@
 	Burst float64
 	// Weight is the account's share under contention.
 	Weight float64
+	// Priority ranks the account's requests before that of their route; 0 is the most urgent.
+	Priority int
+	// HasPriority says that Priority is set.
+	HasPriority bool
+	// CallCost is the tokens that a request is charged which states no token counts.
+	CallCost int64
+	// PerRequest says that Rate and Burst count requests, not tokens.
+	PerRequest bool
 }
 
 // Key maps the hash of a caller's key to its client account.
--- a/pkg/daemon/command/command.go
+++ b/pkg/daemon/command/command.go
@@ -17,6 +17,7 @@
 	"github.com/mallowlink/mallowlink/pkg/daemon"
 	"github.com/mallowlink/mallowlink/pkg/settings"
 	"github.com/mallowlink/mallowlink/pkg/standalone"
+	"github.com/mallowlink/mallowlink/platform"
 )
 
 // Exit statuses.
@@ -58,7 +59,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRunCommand(), newCheckCommand())
+	root.AddCommand(newRunCommand(), newGatewayCommand(), newCheckCommand())
 	return root
 }
 
@@ -117,6 +118,25 @@
 	return cmd
 }
 
+func newGatewayCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "gateway",
+		Short: "Run on the users' platform until SIGTERM, dispatching requests directly to endpoints",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			signals := notify()
+			d, err := platform.New()
+			if err != nil {
+				return err
+			}
+			if err := d.Start(context.Background()); err != nil {
+				return err
+			}
+			return untilSignal(d, signals)
+		},
+	}
+}
+
 // stoppable is what runs until a signal.
 type stoppable interface {
 	Failed() <-chan struct{}
--- a/pkg/endpoint/rest/answer.go
+++ b/pkg/endpoint/rest/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/endpoint"
 	"github.com/mallowlink/mallowlink/pkg/endpoint/rest/sse"
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 )
 
 // pieceSize bounds the pieces in which a plain body is returned.
@@ -31,7 +32,7 @@
 func newBody(resp *http.Response, maxAnswer int64) *body {
 	framed := resp.ContentLength >= 0 || resp.Body == http.NoBody ||
 		slices.Contains(resp.TransferEncoding, "chunked")
-	return &body{resp: resp, header: StripHopByHop(resp.Header), left: maxAnswer, framed: framed}
+	return &body{resp: resp, header: httpheader.StripHopByHop(resp.Header), left: maxAnswer, framed: framed}
 }
 
 // Status returns the HTTP status.
@@ -92,7 +93,7 @@
 func newStream(resp *http.Response, first uint64, maxAnswer int64, maxEvent int) *stream {
 	return &stream{
 		resp:     resp,
-		header:   StripHopByHop(resp.Header),
+		header:   httpheader.StripHopByHop(resp.Header),
 		parser:   sse.NewParser(resp.Body, maxEvent),
 		expected: first,
 		left:     maxAnswer,
--- a/pkg/endpoint/rest/engine.go
+++ b/pkg/endpoint/rest/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/endpoint"
 	"github.com/mallowlink/mallowlink/pkg/endpoint/rest/wire"
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 )
 
 // Engine is a model engine.
@@ -33,7 +34,7 @@
 // Do sends the request. Every answer of status 503 counts as ErrBusy, because engines refuse so only
 // what they have not run.
 func (e *Engine) Do(ctx context.Context, req endpoint.Request) (endpoint.Answer, error) {
-	header := StripHopByHop(req.Header)
+	header := httpheader.StripHopByHop(req.Header)
 	header.Set(wire.Priority, strconv.Itoa(req.Priority))
 	// Events cannot be told apart in a compressed stream.
 	header.Set("Accept-Encoding", "identity")
--- a/pkg/endpoint/rest/service.go
+++ b/pkg/endpoint/rest/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/endpoint"
 	"github.com/mallowlink/mallowlink/pkg/endpoint/rest/wire"
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/httponce"
 )
 
@@ -91,7 +92,7 @@
 
 // Do sends the request.
 func (s *Service) Do(ctx context.Context, req endpoint.Request) (endpoint.Answer, error) {
-	resp, err := s.send(ctx, req, StripHopByHop(req.Header))
+	resp, err := s.send(ctx, req, httpheader.StripHopByHop(req.Header))
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/endpoint/rest/service_test.go
+++ b/pkg/endpoint/rest/service_test.go
@@ -157,7 +157,7 @@
 		w.Header().Set("X-Kept", "1")
 	})
 	req := post(false)
-	req.Method = http.MethodGet // on a kept connection: see StripHopByHop
+	req.Method = http.MethodGet // on a kept connection: see httpheader.StripHopByHop
 	req.Header = http.Header{
 		"Connection": {"x-secret , keep-alive"}, "X-Secret": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"},
 		"Proxy-Authorization": {"p"}, "x-kept": {"1"},
--- a/pkg/entry/key.go
+++ b/pkg/entry/key.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
 
@@ -120,13 +121,6 @@
 	return strings.Join(kept, "&")
 }
 
-// hopByHop are the fields that RFC 9110 and its predecessors name as meant for one hop, and those
-// that this hop has answered itself.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Authentication-Info", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // never are the request fields that are not forwarded.
 var never = []string{
 	"Authorization", headerAPIKey, "Cookie", "Expect", "Content-Length", "Host", "Accept-Encoding",
@@ -137,7 +131,7 @@
 
 // header returns the request header that a plain service gets.
 func (c *credentials) header(in http.Header) http.Header {
-	out := withoutHopByHop(in)
+	out := httpheader.StripHopByHop(in)
 	for _, name := range never {
 		out.Del(name)
 	}
@@ -149,23 +143,6 @@
 	return out
 }
 
-// withoutHopByHop returns a copy without hop-by-hop fields, those that Connection names included.
-func withoutHopByHop(in http.Header) http.Header {
-	out := in.Clone()
-	if out == nil {
-		return http.Header{}
-	}
-	for _, value := range in.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
-
 // body returns the body without the keys that stand in it as they are. A body that holds one in an
 // escaped form is refused.
 func (c *credentials) body(body []byte, contentType string) ([]byte, *result.Error) {
--- a/pkg/entry/writer.go
+++ b/pkg/entry/writer.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
 
@@ -58,7 +59,7 @@
 
 // copyHeader takes over the endpoint's header, but for hop-by-hop fields and those of mallowlink.
 func (w *writer) copyHeader(header http.Header) {
-	for name, values := range withoutHopByHop(header) {
+	for name, values := range httpheader.StripHopByHop(header) {
 		if name == "Content-Length" || name == HeaderRequest || name == HeaderAdapter {
 			continue
 		}
--- /dev/null
+++ b/pkg/follow/follow.go
@@ -0,0 +1,179 @@
+// Package follow keeps a copy of a table of rows up to date by its feed.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/platform"
+)
+
+// Config describes what is followed.
+type Config struct {
+	// Name names the table in logs.
+	Name string
+	Feed platform.Feed
+	// Wait is how long one call waits for a change; Pause is the time between two calls. A table in
+	// which something changes all the time is followed with a pause.
+	Wait, Pause time.Duration
+	// Changed is called with all rows, by key, after something has changed. It must not keep the map.
+	Changed func(rows map[string]platform.Row)
+	Log     logrus.FieldLogger
+}
+
+const (
+	// retryPause is the time before a failed call is made again; it doubles up to maxRetryPause.
+	retryPause    = 100 * time.Millisecond
+	maxRetryPause = 800 * time.Millisecond
+)
+
+// Follower follows one table.
+type Follower struct {
+	cfg  Config
+	rows map[string]platform.Row
+	// position is where the next call goes on; listed says that there is one.
+	position uint64
+	listed   bool
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	confirmed time.Time
+	downSince time.Time
+	upSince   time.Time
+}
+
+// New returns a follower.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, rows: map[string]platform.Row{}}
+}
+
+// Confirmed returns the moment up to which the copy is known to be current: when the last call that
+// was answered was sent. It is zero before the first.
+func (f *Follower) Confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// UpSince returns the start of the unbroken run of answers; zero while the table does not answer.
+func (f *Follower) UpSince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upSince
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := retryPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case err == nil:
+			pause = retryPause
+			sleep(ctx, f.cfg.Pause)
+		case errors.Is(err, platform.ErrCompacted):
+			f.listed = false
+			f.cfg.Log.WithFields(logrus.Fields{"event": "feed_compacted", "table": f.cfg.Name, "position": f.position}).Warn()
+		case ctx.Err() == nil:
+			f.lost(err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxRetryPause)
+		}
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	sent := time.Now()
+	if !f.listed {
+		rows, position, err := f.cfg.Feed.Snapshot(ctx)
+		if err != nil {
+			return err
+		}
+		f.replace(rows)
+		f.position, f.listed = position, true
+		f.answered(sent)
+		f.cfg.Changed(f.rows)
+		return nil
+	}
+	changes, position, err := f.cfg.Feed.Changes(ctx, f.position, f.cfg.Wait)
+	if err != nil {
+		return err
+	}
+	f.position = max(position, f.position)
+	f.apply(changes)
+	f.answered(sent)
+	if len(changes) > 0 {
+		f.cfg.Changed(f.rows)
+	}
+	return nil
+}
+
+func (f *Follower) replace(rows []platform.Row) {
+	clear(f.rows)
+	for _, row := range rows {
+		f.rows[row.Key] = row
+	}
+}
+
+func (f *Follower) apply(changes []platform.Change) {
+	for _, change := range changes {
+		if change.Removed {
+			delete(f.rows, change.Key)
+			continue
+		}
+		f.rows[change.Key] = change.Row
+	}
+}
+
+// answered notes that the table has answered a call sent at that time.
+func (f *Follower) answered(sent time.Time) {
+	f.mu.Lock()
+	was := f.upSince
+	down := f.downSince
+	f.confirmed = sent
+	if was.IsZero() {
+		f.upSince = sent
+		f.downSince = time.Time{}
+	}
+	f.mu.Unlock()
+	if was.IsZero() {
+		entry := f.cfg.Log.WithFields(logrus.Fields{"event": "feed_up", "table": f.cfg.Name, "rows": len(f.rows), "position": f.position})
+		if !down.IsZero() {
+			entry = entry.WithField("down", time.Since(down).Round(time.Millisecond))
+		}
+		entry.Info()
+	}
+}
+
+// lost notes that the table does not answer.
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	first := f.downSince.IsZero()
+	if first {
+		f.downSince = time.Now()
+	}
+	f.upSince = time.Time{}
+	f.mu.Unlock()
+	if first {
+		f.cfg.Log.WithFields(logrus.Fields{"event": "feed_down", "table": f.cfg.Name, "error": err.Error()}).Warn()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/gateway/errors.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/chart"
+	"github.com/mallowlink/mallowlink/pkg/result"
+)
+
+// Header fields of mallowlink's own on answers that no endpoint has given.
+const (
+	headerCode    = "X-Mallowlink-Code"
+	headerOutcome = "X-Mallowlink-Outcome"
+)
+
+// errorBody is the body of an answer that no endpoint has given.
+type errorBody struct {
+	Code    result.Code    `json:"code"`
+	Name    string         `json:"name"`
+	Outcome result.Outcome `json:"outcome"`
+	Detail  string         `json:"detail"`
+}
+
+// statusOf returns the status of an error. The statuses that promise that the request has not run are
+// only given to requests that have not.
+func statusOf(e *result.Error) int {
+	status := e.Code.Info().Status
+	if e.Outcome == result.NotRun {
+		return status
+	}
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// writeError answers with an error.
+func writeError(w http.ResponseWriter, e *result.Error) {
+	body, err := json.Marshal(errorBody{Code: e.Code, Name: e.Code.Name(), Outcome: e.Outcome, Detail: e.Detail})
+	if err != nil {
+		body = nil
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerCode, strconv.Itoa(int(e.Code)))
+	h.Set(headerOutcome, string(e.Outcome))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(statusOf(e))
+	_, _ = w.Write(body)
+}
+
+// logEnd writes the line of a request that has ended.
+func (c *call) logEnd(state chart.State) {
+	fields := logrus.Fields{
+		"event": "request", "id": c.terms.ID, "end": state, "route": c.route.Name, "account": c.account,
+		"took": time.Since(c.arrived).Round(time.Millisecond), "waited": c.waited.Round(time.Millisecond),
+		"first": c.first.Round(time.Millisecond), "runs": c.runs, "rejections": c.rejections,
+	}
+	if c.place.Endpoint.ID != "" {
+		fields["endpoint"] = c.place.Endpoint.ID
+	}
+	if c.failure != nil {
+		fields["code"] = int(c.failure.Code)
+		fields["outcome"] = c.failure.Outcome
+		fields["cause"] = c.failure.Detail
+	}
+	c.g.cfg.Log.WithFields(fields).Info()
+}
--- /dev/null
+++ b/pkg/gateway/metrics.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the metrics.
+const (
+	metricRequests = "gateway.requests"
+	metricAnswered = "gateway.answered"
+	metricRefused  = "gateway.refused"
+	metricFailed   = "gateway.failed"
+	metricRepeats  = "gateway.repeats"
+	metricResumed  = "gateway.resumed"
+	metricFirst    = "gateway.first"
+	metricWait     = "gateway.wait"
+)
+
+// sampleSize bounds the samples of a histogram; sampleAlpha is its bias to recent values. Both are the
+// values that go-metrics recommends.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// meters are the gateway's counters and latency histograms, in nanoseconds.
+type meters struct {
+	requests, answered, refused, failed, repeats, resumed metrics.Counter
+	// first is the time from a request's arrival to the first part of its answer; wait is the time
+	// until it had an endpoint.
+	first, wait metrics.Histogram
+}
+
+func newMeters(r metrics.Registry) meters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return meters{
+		requests: counter(metricRequests), answered: counter(metricAnswered),
+		refused: counter(metricRefused), failed: counter(metricFailed),
+		repeats: counter(metricRepeats), resumed: counter(metricResumed),
+		first: histogram(metricFirst), wait: histogram(metricWait),
+	}
+}
+
+func observe(h metrics.Histogram, d time.Duration) { h.Update(int64(d)) }
--- /dev/null
+++ b/pkg/gatewayd/settings.go
@@ -0,0 +1,64 @@
+package gatewayd
+
+import "time"
+
+// Settings are the static settings of one VM's process.
+type Settings struct {
+	// VM identifies the VM.
+	VM            string
+	FailureDomain string
+	Listen        Listen
+	Limits        Limits
+	Bounds        Bounds
+	// Store is the address of the platform's metadata store, as IP and port.
+	Store string
+	// FirstStart says that the whole deployment starts for the first time.
+	FirstStart bool
+	// LogLevel is a level of logrus; info if empty.
+	LogLevel string
+}
+
+// Listen holds the addresses that the process listens on, as IP and port.
+type Listen struct {
+	Callers string
+	// Readiness answers whether new connections of callers should come here.
+	Readiness string
+	// Peer takes calls of other VMs.
+	Peer string
+	// Metrics serves metrics and the dump of the process's state.
+	Metrics string
+}
+
+// Limits are what the VM gives the process.
+type Limits struct {
+	// MemoryBytes bounds the process's memory.
+	MemoryBytes int64
+	// Descriptors bounds its open files and sockets.
+	Descriptors int
+	// Cores is its share of a core.
+	Cores float64
+}
+
+// Bounds are the deployment's figures that the process works by.
+type Bounds struct {
+	// Heartbeat is how often an endpoint writes to the platform's list.
+	Heartbeat time.Duration
+	// KeyWithdrawal is the time within which a withdrawn key must stop working on every VM.
+	KeyWithdrawal time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Drain is the time within which requests to a leaving endpoint must end.
+	Drain time.Duration
+	// OrderTurns is the least time between orders of two VMs that take turns at an endpoint.
+	OrderTurns time.Duration
+	// RetryShare, RetryReserve and RetryWindow bound repeated requests, fleet-wide: to a share of the
+	// requests within the window, and a number on top.
+	RetryShare   float64
+	RetryReserve float64
+	RetryWindow  time.Duration
+	// QuotaOverage, QuotaSlack and QuotaWindow bound what a client account may exceed its limit by
+	// within the window: a share of the limit, and tokens on top.
+	QuotaOverage float64
+	QuotaSlack   float64
+	QuotaWindow  time.Duration
+}
--- a/pkg/endpoint/rest/header.go
+++ b/pkg/httpheader/hopbyhop.go
@@ -1,4 +1,5 @@
-package rest
+// Package httpheader holds what RFC 9110 says of header fields.
+package httpheader
 
 import (
 	"net/http"
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -87,3 +88,24 @@
 type VMLister interface {
 	ListVMs(ctx context.Context) ([]VM, error)
 }
+
+// ErrCompacted says that a feed no longer holds the changes after the position asked for. The caller
+// takes a new snapshot.
+var ErrCompacted = errors.New("platform: changes are no longer held")
+
+// Change is a row as a feed reports it.
+type Change struct {
+	Row
+	// Removed says that the row was deleted; Value is empty then.
+	Removed bool
+}
+
+// Feed follows the rows of one table. Positions are versions: those of a snapshot and of changes can
+// be compared with Row.Version.
+type Feed interface {
+	// Snapshot returns all rows and the position that they stand for.
+	Snapshot(ctx context.Context) ([]Row, uint64, error)
+	// Changes returns the changes after a position and the position that they lead to. If there are
+	// none it waits for one, at most for wait. It fails with ErrCompacted or ErrUnavailable.
+	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
--- /dev/null
+++ b/pkg/upstream/conn.go
@@ -0,0 +1,88 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// expires is when the endpoint may close the idle connection.
+	expires time.Time
+	// idleSince is when the last answer ended.
+	idleSince time.Time
+	// used says that the connection has carried an answer before.
+	used bool
+}
+
+// readBuffer is the size of a connection's read buffer, in bytes; most events and answers fit.
+const readBuffer = 2 << 10
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
+}
+
+// fresh reports whether the connection can carry another request: nothing is left over in it, the
+// endpoint has not closed it and will not do so soon.
+func (c *conn) fresh(now time.Time) bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if !c.expires.IsZero() && !now.Before(c.expires) {
+		return false
+	}
+	return c.quiet()
+}
+
+// quiet reports whether nothing has arrived on the connection: neither bytes that belong to no
+// request nor its end.
+func (c *conn) quiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepMargin is how long before the endpoint's own limit an idle connection is given up, for the
+// time that a request needs to arrive.
+const keepMargin = 500 * time.Millisecond
+
+// keep notes how long the endpoint keeps the connection idle, as its answer says.
+func (c *conn) keep(h http.Header, now time.Time) {
+	c.used = true
+	c.idleSince = now
+	c.expires = time.Time{}
+	if limit := keepAlive(h); limit > 0 {
+		c.expires = now.Add(limit - keepMargin)
+	}
+}
+
+// keepAlive returns the timeout of a Keep-Alive header; 0 if there is none.
+func keepAlive(h http.Header) time.Duration {
+	for item := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(item), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
