--- a/bench/capacity/measure/fleet.go
+++ b/bench/capacity/measure/fleet.go
@@ -235,7 +235,7 @@
 // rowBytes returns the bytes of the session and lease rows, which each member lists once a period.
 func (f *fleet) rowBytes(ctx context.Context) (float64, error) {
 	total := 0
-	for _, prefix := range []string{"session/", "lease/"} {
+	for _, prefix := range []string{"lease/session/", "lease/name/"} {
 		rows, err := f.store.table(noOptions).List(ctx, prefix)
 		if err != nil {
 			return 0, err
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/peer"
 )
@@ -83,7 +84,7 @@
 
 // expire drops permits whose time is over. h.mu is held.
 func (h *Holder) expire(now time.Time) {
-	if age := max(now.Sub(h.granted), now.Round(0).Sub(h.granted.Round(0))); age >= permitLife {
+	if age := clock.Elapsed(h.granted, now); age >= permitLife {
 		h.idle = 0
 	}
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -1,59 +1,108 @@
-// Package dispatch chooses the endpoint of each request.
+// Package dispatch chooses the endpoint of each request: of plain services the one with the least
+// expected time, of engines the one where the request's adapter and prompt are at home.
 package dispatch
 
 import (
 	"context"
-	"sync"
+	"math/rand/v2"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
+// Config holds what the dispatcher works with.
+type Config struct {
+	// Self identifies this VM, Incarnation its process.
+	Self          string
+	Incarnation   string
+	FailureDomain string
+	Roster        *roster.Roster
+	Orders        *orders.Service
+	Leases        lease.Lessor
+	Caller        peer.Caller
+	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
+	Newest  func(residency.Key) int
+	Metrics metrics.Registry
+	Log     logrus.FieldLogger
+}
+
 // Dispatcher implements gateway.Dispatcher.
 type Dispatcher struct {
-	roster *roster.Roster
-	mu     sync.Mutex
-	load   map[string]int
+	cfg        Config
+	conditions *conditions
+	owners     *owners
 }
 
-// New returns a dispatcher over the roster.
-func New(r *roster.Roster) *Dispatcher {
-	return &Dispatcher{roster: r, load: map[string]int{}}
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:        cfg,
+		conditions: newConditions(),
+		owners:     newOwners(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.Caller),
+	}
 }
 
-// Place implements gateway.Dispatcher.
-func (d *Dispatcher) Place(_ context.Context, w gateway.Work) (gateway.Place, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	best := -1
-	list := d.roster.View().Group(w.Group.Name)
-	for i, e := range list {
-		if e.Draining || contains(w.Exclude, e.ID) {
-			continue
-		}
-		if best < 0 || d.load[e.ID] < d.load[list[best].ID] {
-			best = i
+// sweepPause is the time between two passes over the conditions of endpoints.
+const sweepPause = 10 * time.Second
+
+// Run passes notices on to the owners of engines until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	go func() {
+		ticker := time.NewTicker(sweepPause)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-ticker.C:
+				d.conditions.sweep(now)
+			}
 		}
+	}()
+	d.owners.run(ctx)
+}
+
+// Place implements gateway.Dispatcher.
+func (d *Dispatcher) Place(ctx context.Context, w gateway.Work) (gateway.Place, error) {
+	candidates := d.conditions.candidates(d.cfg.Roster.View().Group(w.Group.Name), w.Exclude, time.Now())
+	if len(candidates) == 0 {
+		return gateway.Place{}, result.New(result.NoEndpoint, "no endpoint takes requests for the route")
 	}
-	if best < 0 {
-		return gateway.Place{}, result.New(result.NoEndpoint, "no endpoint")
+	if w.Group.Engine == nil {
+		e := d.conditions.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
+		return d.place(e, 0, func(orders.Notice) {}), nil
 	}
-	e := list[best]
-	d.load[e.ID]++
-	return gateway.Place{Endpoint: e, Started: func(time.Duration) {}, Done: func(gateway.Outcome) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.load[e.ID]--
-	}}, nil
+	return d.placeAtEngine(ctx, w, candidates)
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
+// place returns a place and notes the request that goes there.
+func (d *Dispatcher) place(e roster.Endpoint, version int, notify func(orders.Notice)) gateway.Place {
+	d.conditions.mu.Lock()
+	d.conditions.get(e.Incarnation).sent(time.Now())
+	d.conditions.mu.Unlock()
+	return gateway.Place{
+		Endpoint:       e,
+		AdapterVersion: version,
+		Started: func(after time.Duration) {
+			d.conditions.mu.Lock()
+			d.conditions.get(e.Incarnation).alive(time.Now())
+			d.conditions.mu.Unlock()
+			notify(orders.Notice{Started: true, First: after})
+		},
+		Done: func(o gateway.Outcome) {
+			d.conditions.mu.Lock()
+			d.conditions.get(e.Incarnation).ended(o, time.Now())
+			d.conditions.mu.Unlock()
+			notify(orders.Notice{Ended: true, Missing: o.NotLoaded})
+		},
 	}
-	return false
 }
--- /dev/null
+++ b/pkg/dispatch/health.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+const (
+	// failureHalfLife is the time in which past failures lose half their weight.
+	failureHalfLife = 2 * time.Second
+	// failureRate is the weight of one outcome in the share of failures.
+	failureRate = 0.25
+	// sickShare is the share of failures from which an endpoint is avoided.
+	sickShare = 0.35
+	// firstBackoff is how long an endpoint that cannot be connected to is avoided; it doubles with each
+	// further failure up to maxBackoff, which is about the time of a restart.
+	firstBackoff = 200 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// silence is how long an endpoint with requests may send nothing before it is avoided.
+	silence = 600 * time.Millisecond
+	// latencyRate is the weight of a new time in the average.
+	latencyRate = 0.2
+	// firstLatency is assumed before a time was measured.
+	firstLatency = 20 * time.Millisecond
+)
+
+// condition is what this VM knows of one run of an endpoint from its own requests.
+type condition struct {
+	outstanding int
+	// quietSince is when the endpoint last gave a sign of life, or got the first request after that.
+	quietSince time.Time
+	failures   float64
+	failedAt   time.Time
+	backoff    time.Duration
+	avoidUntil time.Time
+	latency    time.Duration
+	seen       time.Time
+}
+
+// share returns the decayed share of failures.
+func (c *condition) share(now time.Time) float64 {
+	if c.failures == 0 {
+		return 0
+	}
+	return c.failures * math.Exp2(-now.Sub(c.failedAt).Seconds()/failureHalfLife.Seconds())
+}
+
+// fit reports whether requests should go to the endpoint.
+func (c *condition) fit(now time.Time) bool {
+	if now.Before(c.avoidUntil) {
+		return false
+	}
+	if c.outstanding > 0 && now.Sub(c.quietSince) > silence {
+		return false
+	}
+	return c.share(now) < sickShare
+}
+
+// sent notes a request that goes to the endpoint.
+func (c *condition) sent(now time.Time) {
+	if c.outstanding == 0 {
+		c.quietSince = now
+	}
+	c.outstanding++
+	c.seen = now
+}
+
+// alive notes a sign of life.
+func (c *condition) alive(now time.Time) {
+	c.quietSince = now
+	c.backoff = 0
+	c.avoidUntil = time.Time{}
+}
+
+// ended notes how the endpoint fared with a request.
+func (c *condition) ended(o gateway.Outcome, now time.Time) {
+	c.outstanding--
+	c.seen = now
+	switch {
+	case o.Unreachable:
+		c.backoff = min(max(2*c.backoff, firstBackoff), maxBackoff)
+		c.avoidUntil = now.Add(c.backoff)
+	case o.Cut:
+	case o.Failed:
+		c.note(1, now)
+		c.quietSince = now
+	default:
+		c.note(0, now)
+		c.alive(now)
+	}
+	if o.First > 0 {
+		c.measure(o.First)
+	}
+}
+
+// note takes one outcome into the share of failures.
+func (c *condition) note(failed float64, now time.Time) {
+	share := c.share(now)
+	c.failures = share + failureRate*(failed-share)
+	c.failedAt = now
+}
+
+// measure takes a time to the first part of an answer into the average. A longer one counts at once.
+func (c *condition) measure(d time.Duration) {
+	if c.latency == 0 || d > c.latency {
+		c.latency = d
+		return
+	}
+	c.latency += time.Duration(latencyRate * float64(d-c.latency))
+}
+
+// cost is the expected time for one more request.
+func (c *condition) cost() time.Duration {
+	latency := c.latency
+	if latency == 0 {
+		latency = firstLatency
+	}
+	return latency * time.Duration(c.outstanding+1)
+}
+
+// conditions are those of all endpoints. They are safe for concurrent use.
+type conditions struct {
+	mu   sync.Mutex
+	list map[roster.Incarnation]*condition // guarded by mu
+}
+
+func newConditions() *conditions {
+	return &conditions{list: map[roster.Incarnation]*condition{}}
+}
+
+// get returns the condition of an endpoint. s.mu is held.
+func (s *conditions) get(id roster.Incarnation) *condition {
+	c := s.list[id]
+	if c == nil {
+		c = &condition{}
+		s.list[id] = c
+	}
+	return c
+}
+
+// forgetAfter is how long the condition of an unused endpoint is kept.
+const forgetAfter = time.Minute
+
+// sweep forgets endpoints that have not been used for long.
+func (s *conditions) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, c := range s.list {
+		if c.outstanding == 0 && now.Sub(c.seen) > forgetAfter {
+			delete(s.list, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/follow/mirror.go
@@ -0,0 +1,90 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/mallowlink/mallowlink/pkg/platform"
+)
+
+// FeedTable is a table that also has a feed.
+type FeedTable interface {
+	platform.Table
+	platform.Feed
+}
+
+// Mirror is a table whose listings cost only what has changed since the last one. It is safe for
+// concurrent use.
+type Mirror struct {
+	FeedTable
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	rows     map[string]platform.Row
+	position uint64
+	listed   bool
+}
+
+// NewMirror returns a mirror of the table.
+func NewMirror(table FeedTable) *Mirror {
+	return &Mirror{FeedTable: table, rows: map[string]platform.Row{}}
+}
+
+// List implements platform.Table. The listing is of a moment after the call began.
+func (m *Mirror) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.refresh(ctx); err != nil {
+		return nil, err
+	}
+	var rows []platform.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows, nil
+}
+
+// refresh brings the copy up to date. m.mu is held.
+func (m *Mirror) refresh(ctx context.Context) error {
+	if m.listed {
+		changes, position, err := m.Changes(ctx, m.position, 0)
+		if err == nil {
+			m.apply(changes, position)
+			return nil
+		}
+		if !errors.Is(err, platform.ErrCompacted) {
+			return err
+		}
+		m.listed = false
+	}
+	rows, position, err := m.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	clear(m.rows)
+	for _, row := range rows {
+		m.rows[row.Key] = row
+	}
+	m.position, m.listed = position, true
+	return nil
+}
+
+// apply takes changes into the copy. m.mu is held.
+func (m *Mirror) apply(changes []platform.Change, position uint64) {
+	for _, c := range changes {
+		if c.Removed {
+			delete(m.rows, c.Key)
+			continue
+		}
+		m.rows[c.Key] = c.Row
+	}
+	m.position = max(m.position, position)
+}
--- /dev/null
+++ b/pkg/gatewayd/beliefs.go
@@ -0,0 +1,225 @@
+package gatewayd
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/bundle"
+	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/follow"
+	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/platform"
+	"github.com/mallowlink/mallowlink/pkg/quota"
+	"github.com/mallowlink/mallowlink/pkg/residency"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+const (
+	// operatorWait is how long one call waits for a change of the operator's rows. It bounds the time
+	// after which a VM knows that it has lost touch.
+	operatorWait = 1500 * time.Millisecond
+	// endpointsPause is the time between two looks at the list of endpoints, in which something changes
+	// with every heartbeat.
+	endpointsPause = time.Second
+	// keyMargin is how long before a withdrawn key must have stopped working a VM without news stops
+	// serving keys, for the time that a request is on its way.
+	keyMargin = 600 * time.Millisecond
+)
+
+// beliefs are what the process knows of the operator's rows and the endpoints.
+type beliefs struct {
+	platform Platform
+	log      logrus.FieldLogger
+	roster   *roster.Roster
+	rules    atomic.Pointer[gateway.Rules]
+	// changed is called after the list of endpoints or the configuration has changed. It is set before
+	// the followers run.
+	changed func()
+
+	mu sync.RWMutex
+	// The fields below are guarded by mu.
+
+	newest    map[residency.Key]int
+	malformed map[string]uint64
+}
+
+func newBeliefs(p Platform, log logrus.FieldLogger) *beliefs {
+	return &beliefs{
+		platform: p, log: log, roster: roster.New(), changed: func() {},
+		newest: map[residency.Key]int{}, malformed: map[string]uint64{},
+	}
+}
+
+// takeOperator takes in the operator's rows. Versions never go back.
+func (b *beliefs) takeOperator(rows map[string]platform.Row) {
+	for key, row := range rows {
+		decoded, err := b.platform.DecodeOperator(key, row.Value)
+		if err != nil {
+			b.logMalformed("operator_row_malformed", key, row, err)
+			continue
+		}
+		if decoded.Config != nil {
+			b.takeConfig(decoded.Config)
+		}
+		if decoded.Version != nil {
+			b.takeVersion(*decoded.Version)
+		}
+	}
+	b.changed()
+}
+
+func (b *beliefs) takeConfig(config *bundle.Bundle) {
+	old := b.rules.Load()
+	if old != nil && old.Bundle.Version >= config.Version {
+		return
+	}
+	b.rules.Store(gateway.NewRules(config))
+	b.log.WithFields(logrus.Fields{
+		"event": "config_in_force", "version": config.Version, "routes": len(config.Routes),
+		"accounts": len(config.Accounts), "keys": len(config.Keys),
+	}).Info()
+}
+
+func (b *beliefs) takeVersion(a roster.Adapter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := residency.KeyOf(a)
+	if b.newest[key] >= a.Version {
+		return
+	}
+	b.newest[key] = a.Version
+	b.log.WithFields(logrus.Fields{"event": "adapter_version", "adapter": a.Name, "version": a.Version}).Info()
+}
+
+// newestOf returns the newest version of an adapter that the operator has declared; 0 if none.
+func (b *beliefs) newestOf(key residency.Key) int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.newest[key]
+}
+
+// logMalformed logs a row that cannot be read, once for each version of it.
+func (b *beliefs) logMalformed(event, key string, row platform.Row, err error) {
+	b.mu.Lock()
+	known := b.malformed[key] == row.Version
+	b.malformed[key] = row.Version
+	b.mu.Unlock()
+	if !known {
+		b.log.WithError(err).WithFields(logrus.Fields{"event": event, "key": key, "row_version": row.Version}).Warn()
+	}
+}
+
+// takeEndpoints takes in the list of endpoints.
+func (b *beliefs) takeEndpoints(rows map[string]platform.Row) {
+	list := make([]roster.Endpoint, 0, len(rows))
+	for key, row := range rows {
+		e, err := b.platform.DecodeEndpoint(key, row.Value)
+		if err != nil {
+			b.logMalformed("endpoint_row_malformed", key, row, err)
+			continue
+		}
+		list = append(list, e)
+	}
+	view := roster.NewView(list)
+	b.logEndpoints(b.roster.View(), view)
+	b.roster.Set(view)
+	b.changed()
+}
+
+// logEndpoints logs the endpoints that have come, gone, or changed their state.
+func (b *beliefs) logEndpoints(old, view *roster.View) {
+	for _, e := range view.All() {
+		before, known := old.Endpoint(e.ID)
+		if known && before.Incarnation == e.Incarnation && before.Draining == e.Draining {
+			continue
+		}
+		b.log.WithFields(logrus.Fields{
+			"event": "endpoint_listed", "endpoint": e.ID, "group": e.Group, "address": e.Address,
+			"started": e.Started, "draining": e.Draining,
+		}).Info()
+	}
+	for _, e := range old.All() {
+		if _, still := view.Endpoint(e.ID); !still {
+			b.log.WithFields(logrus.Fields{"event": "endpoint_unlisted", "endpoint": e.ID, "group": e.Group}).Info()
+		}
+	}
+}
+
+// limit returns a client account's limit.
+func (b *beliefs) limit(account string) (quota.Limit, bool) {
+	rules := b.rules.Load()
+	if rules == nil {
+		return quota.Limit{}, false
+	}
+	a, ok := rules.Bundle.Accounts[account]
+	return quota.Limit{Rate: a.Rate, Burst: a.Burst}, ok
+}
+
+// accounts returns the names of the client accounts.
+func (b *beliefs) accounts() []string {
+	rules := b.rules.Load()
+	if rules == nil {
+		return nil
+	}
+	names := make([]string, 0, len(rules.Bundle.Accounts))
+	for name := range rules.Bundle.Accounts {
+		names = append(names, name)
+	}
+	return names
+}
+
+// spec returns what is known of a group's engines.
+func (b *beliefs) spec(group string) (orders.Spec, bool) {
+	rules := b.rules.Load()
+	if rules == nil || rules.Bundle.Groups[group].Engine == nil {
+		return orders.Spec{}, false
+	}
+	e := rules.Bundle.Groups[group].Engine
+	return orders.Spec{Places: e.MaxAdapters, CacheTokens: e.CacheTokens}, true
+}
+
+// model returns the base model of a group.
+func (b *beliefs) model(group string) string {
+	rules := b.rules.Load()
+	if rules == nil {
+		return ""
+	}
+	return rules.Bundle.Groups[group].Model
+}
+
+// followers follow the platform's tables.
+type followers struct {
+	operator, endpoints *follow.Follower
+	bounds              Bounds
+}
+
+func newFollowers(s Settings, p Platform, b *beliefs, log logrus.FieldLogger) *followers {
+	return &followers{
+		bounds: s.Bounds,
+		operator: follow.New(follow.Config{
+			Name: "operator", Feed: p.Operator, Wait: operatorWait, Changed: b.takeOperator, Log: log,
+		}),
+		endpoints: follow.New(follow.Config{
+			Name: "endpoints", Feed: p.Endpoints, Pause: endpointsPause, Changed: b.takeEndpoints, Log: log,
+		}),
+	}
+}
+
+// keysValid reports whether no key can have been withdrawn for so long that it must no longer work
+// without this VM knowing.
+func (f *followers) keysValid() bool {
+	return clock.Elapsed(f.operator.Confirmed(), time.Now()) < f.bounds.KeyWithdrawal-keyMargin
+}
+
+// version returns the version of the configuration in force; 0 before the first.
+func (b *beliefs) version() uint64 {
+	rules := b.rules.Load()
+	if rules == nil {
+		return 0
+	}
+	return rules.Bundle.Version
+}
--- /dev/null
+++ b/pkg/gatewayd/parts.go
@@ -0,0 +1,322 @@
+package gatewayd
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/follow"
+	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/quota"
+	"github.com/mallowlink/mallowlink/pkg/retry"
+	"github.com/mallowlink/mallowlink/pkg/upstream"
+)
+
+// identity says which process this is.
+type identity struct {
+	vm          string
+	incarnation string
+	started     time.Time
+}
+
+func newIdentity(s Settings) identity {
+	now := time.Now()
+	return identity{vm: s.VM, incarnation: membership.NewIncarnation(now), started: now}
+}
+
+func newLogger(s Settings) (logrus.FieldLogger, error) {
+	level := logrus.InfoLevel
+	if s.LogLevel != "" {
+		var err error
+		if level, err = logrus.ParseLevel(s.LogLevel); err != nil {
+			return nil, errors.Wrap(err, "log level")
+		}
+	}
+	log := logrus.New()
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	return log.WithField("vm", s.VM), nil
+}
+
+// background is the context of work that lasts as long as the process.
+type background struct {
+	context.Context
+	cancel context.CancelFunc
+}
+
+func newBackground() background {
+	ctx, cancel := context.WithCancel(context.Background())
+	return background{ctx, cancel}
+}
+
+// listeners are bound before anything starts, so that a port in use is found at once.
+type listeners struct {
+	callers, readiness, peer, metrics net.Listener
+}
+
+func newListeners(s Settings) (*listeners, error) {
+	l := &listeners{}
+	binds := []struct {
+		to      *net.Listener
+		address string
+		name    string
+	}{
+		{&l.callers, s.Listen.Callers, "callers"},
+		{&l.readiness, s.Listen.Readiness, "readiness"},
+		{&l.peer, s.Listen.Peer, "peer"},
+		{&l.metrics, s.Listen.Metrics, "metrics"},
+	}
+	for _, bind := range binds {
+		listener, err := net.Listen("tcp", bind.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "listen for %s", bind.name)
+		}
+		*bind.to = listener
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.readiness, l.peer, l.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// outbound are the connections to endpoints.
+type outbound struct {
+	pools  *upstream.Pools
+	client *upstream.Client
+}
+
+// metricDials counts the connections opened to endpoints.
+const metricDials = "upstream.dials"
+
+func newUpstream(p Platform, registry metrics.Registry) outbound {
+	pools := upstream.NewPools()
+	dials := metrics.GetOrRegisterCounter(metricDials, registry)
+	return outbound{pools: pools, client: upstream.NewClient(pools, p.Dialect, func() { dials.Inc(1) })}
+}
+
+// peers are the calls between VMs. The platform gives the process no certificates; its network admits
+// only the deployment's own VMs to the peer port.
+type peers struct {
+	pool   *peer.Pool
+	server *peer.Server
+}
+
+// Names of the counters of traffic between VMs.
+const (
+	metricPeerCalls  = "peer.calls"
+	metricPeerServed = "peer.served"
+)
+
+func newPeers(registry metrics.Registry, log logrus.FieldLogger) peers {
+	plain := func() *tls.Config { return nil }
+	return peers{
+		pool:   peer.NewPool(plain, peer.NewTraffic(registry, metricPeerCalls)),
+		server: peer.NewServer(plain, peer.NewTraffic(registry, metricPeerServed), log),
+	}
+}
+
+// fleet is what the process knows of the other VMs, and its leases.
+type fleet struct {
+	members   *membership.Registry
+	leases    *lease.Manager
+	listeners *listenerSet
+}
+
+func newFleet(s Settings, id identity, p Platform, b *beliefs, pp peers, log logrus.FieldLogger) fleet {
+	members := membership.New(membership.Config{
+		ID:            id.vm,
+		Incarnation:   id.incarnation,
+		FailureDomain: s.FailureDomain,
+		PeerAddress:   s.Listen.Peer,
+	}, nil, pp.pool, log)
+	set := &listenerSet{}
+	leases := lease.NewManager(lease.Config{
+		ID:          id.vm,
+		Incarnation: id.incarnation,
+		Address:     s.Listen.Peer,
+		Duration:    s.Bounds.OrderTurns,
+		Names:       func() []string { return leaseNames(b) },
+		State:       set.stateOf,
+	}, follow.NewMirror(p.Fleet), members, pp.pool, set, log)
+	return fleet{members: members, leases: leases, listeners: set}
+}
+
+// leaseNames returns the leases that some VM should hold.
+func leaseNames(b *beliefs) []string {
+	names := orders.LeaseNames()
+	for _, account := range b.accounts() {
+		names = append(names, lease.AccountPrefix+account)
+	}
+	return names
+}
+
+// listenerSet passes leases gained and lost on to every part that acts under leases. It is filled
+// before the leases run.
+type listenerSet struct {
+	parts []lease.Listener
+	// state returns what the holder of a lease passes on to the next one.
+	state func(name string) []byte
+}
+
+// LeaseGained implements lease.Listener.
+func (s *listenerSet) LeaseGained(grant lease.Grant) {
+	for _, part := range s.parts {
+		part.LeaseGained(grant)
+	}
+}
+
+// LeaseLost implements lease.Listener.
+func (s *listenerSet) LeaseLost(name string) {
+	for _, part := range s.parts {
+		part.LeaseLost(name)
+	}
+}
+
+func (s *listenerSet) stateOf(name string) []byte {
+	if s.state == nil {
+		return nil
+	}
+	return s.state(name)
+}
+
+// quotas are the two sides of the client accounts' limits.
+type quotas struct {
+	home   *quota.Home
+	holder *quota.Holder
+}
+
+func newQuota(bg background, id identity, f fleet, b *beliefs, pp peers, log logrus.FieldLogger) quotas {
+	home := quota.NewHome(bg, id.vm, f.leases, f.members, pp.pool, b.limit, log)
+	holder := quota.NewHolder(bg, id.vm, id.incarnation, home, f.leases, pp.pool, b.limit)
+	return quotas{home: home, holder: holder}
+}
+
+func newOrders(bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
+	return orders.NewService(bg, orders.Config{
+		Self:    id.vm,
+		Leases:  f.leases,
+		Engines: p.Engines(out.client),
+		Roster:  b.roster,
+		Spec:    b.spec,
+		Model:   b.model,
+		Newest:  b.newestOf,
+		Metrics: registry,
+		Log:     log,
+	})
+}
+
+func newDispatcher(s Settings, id identity, f fleet, b *beliefs, o *orders.Service, pp peers, registry metrics.Registry, log logrus.FieldLogger) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{
+		Self:          id.vm,
+		Incarnation:   id.incarnation,
+		FailureDomain: s.FailureDomain,
+		Roster:        b.roster,
+		Orders:        o,
+		Leases:        f.leases,
+		Caller:        pp.pool,
+		Newest:        b.newestOf,
+		Metrics:       registry,
+		Log:           log,
+	})
+}
+
+func newGateway(s Settings, p Platform, b *beliefs, f *followers, q quotas, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
+	return gateway.New(gateway.Config{
+		Rules:      b.rules.Load,
+		KeysValid:  f.keysValid,
+		Dialect:    p.Dialect,
+		Quota:      q.holder,
+		Dispatcher: d,
+		Upstream:   out.client,
+		Retries:    newRetries(s.Bounds).of,
+		Metrics:    registry,
+		Log:        log,
+	})
+}
+
+const (
+	// retryCaution is the part of the fleet-wide share of repeats that a VM uses: requests spread
+	// unevenly over the VMs and over the window.
+	retryCaution = 0.8
+	// retryReserve is the number of repeats that a VM may make without any traffic.
+	retryReserve = 3
+)
+
+// retries bound the repeated requests to each group.
+type retries struct {
+	bounds Bounds
+
+	mu      sync.Mutex
+	windows map[string]*retry.Window // by group, guarded by mu
+}
+
+func newRetries(b Bounds) *retries { return &retries{bounds: b, windows: map[string]*retry.Window{}} }
+
+func (r *retries) of(group string) *retry.Window {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.windows[group]
+	if w == nil {
+		w = retry.NewWindow(r.bounds.RetryWindow, r.bounds.RetryShare*retryCaution, retryReserve)
+		r.windows[group] = w
+	}
+	return w
+}
+
+// connectLeases tells every part that acts under leases of leases gained and lost, and the leases and
+// orders of what has changed.
+func connectLeases(f fleet, b *beliefs, o *orders.Service, q quotas, p *process) {
+	f.listeners.parts = []lease.Listener{o, q.home}
+	f.listeners.state = q.home.State
+	f.members.SetStatus(func() membership.Status {
+		storeDown, leaseSeen, claims := f.leases.Status()
+		return membership.Status{
+			Draining:      p.draining.Load(),
+			BundleVersion: b.version(),
+			StoreDown:     storeDown,
+			LeaseSeen:     leaseSeen,
+			Claims:        claims,
+		}
+	})
+	f.members.OnChange(f.leases.Wake)
+	b.changed = func() {
+		o.Refresh()
+		f.leases.Wake()
+	}
+}
+
+// registerServices offers this VM's services to the other VMs.
+func registerServices(pp peers, f fleet, q quotas, o *orders.Service) error {
+	services := []struct {
+		name     string
+		receiver any
+	}{
+		{membership.ServiceName, f.members.Service()},
+		{lease.ServiceName, f.leases.Service()},
+		{quota.ServiceName, quota.NewService(q.home, q.holder)},
+		{orders.ServiceName, o},
+	}
+	for _, service := range services {
+		if err := pp.server.Register(service.name, service.receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/gatewayd/process.go
@@ -0,0 +1,201 @@
+package gatewayd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/mallowlink/mallowlink/pkg/admin"
+	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/gateway"
+)
+
+const (
+	// headerTimeout bounds the header of a request where the configuration sets no limit.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection without a request is kept. It is longer than what
+	// operators configure, so that a caller's reuse never meets a close.
+	idleTimeout = 2 * time.Minute
+	// balancerWait is how long a stopping process still takes new connections: the balancer notices
+	// within two of its questions.
+	balancerWait = 2500 * time.Millisecond
+	// sweepPause is the time between two passes over idle connections to endpoints.
+	sweepPause = time.Second
+	// stopMargin is the part of the time until SIGKILL that is left for closing.
+	stopMargin = time.Second
+	// drainPoll is the time between two looks at what is still running.
+	drainPoll = 20 * time.Millisecond
+)
+
+// servers are the process's HTTP servers.
+type servers struct {
+	callers, readiness, metrics *http.Server
+	ready                       atomic.Pointer[func() bool]
+}
+
+func newServers(g *gateway.Gateway, registry metrics.Registry) *servers {
+	s := &servers{}
+	router := mux.NewRouter()
+	router.HandleFunc("/readyz", s.serveReady).Methods(http.MethodGet)
+	s.callers = &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	s.metrics = &http.Server{
+		Handler:           admin.NewHandler(func() any { return nil }, registry),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	return s
+}
+
+func (s *servers) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ready := s.ready.Load(); ready == nil || !(*ready)() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// parts are what a process runs.
+type parts struct {
+	fx.In
+
+	Settings   Settings
+	ID         identity
+	Log        logrus.FieldLogger
+	Base       background
+	Listeners  *listeners
+	Beliefs    *beliefs
+	Followers  *followers
+	Out        outbound
+	Peers      peers
+	Fleet      fleet
+	Dispatcher *dispatch.Dispatcher
+	Gateway    *gateway.Gateway
+	Servers    *servers
+}
+
+// process runs the parts of a daemon and drains them at the end.
+type process struct {
+	parts    parts
+	loops    sync.WaitGroup
+	draining atomic.Bool
+	failed   chan struct{}
+	failOnce sync.Once
+}
+
+func newProcess(p parts) *process { return &process{parts: p, failed: make(chan struct{})} }
+
+// ready reports whether new connections of callers should come here.
+func (p *process) ready() bool {
+	b := p.parts.Beliefs
+	return !p.draining.Load() && b.rules.Load() != nil && b.roster.View().Len() > 0 && p.parts.Followers.keysValid()
+}
+
+// start runs every part. The peer port takes calls first: a connection that it refuses would prove
+// this process gone.
+func (p *process) start() {
+	ready := p.ready
+	p.parts.Servers.ready.Store(&ready)
+	p.serve("peer", func() error { return p.parts.Peers.server.Serve(p.parts.Listeners.peer) })
+	p.loop(p.parts.Fleet.members.Run)
+	p.loop(p.parts.Followers.operator.Run)
+	p.loop(p.parts.Followers.endpoints.Run)
+	p.loop(p.parts.Fleet.leases.Run)
+	p.loop(p.parts.Dispatcher.Run)
+	p.loop(p.sweep)
+	p.serveHTTP("readiness", p.parts.Servers.readiness, p.parts.Listeners.readiness)
+	p.serveHTTP("metrics", p.parts.Servers.metrics, p.parts.Listeners.metrics)
+	p.serveHTTP("callers", p.parts.Servers.callers, p.parts.Listeners.callers)
+	p.parts.Log.WithFields(logrus.Fields{
+		"event": "started", "incarnation": p.parts.ID.incarnation,
+		"callers": p.parts.Settings.Listen.Callers, "peer": p.parts.Settings.Listen.Peer,
+		"metrics": p.parts.Settings.Listen.Metrics, "store": p.parts.Settings.Store,
+	}).Info()
+}
+
+func (p *process) loop(run func(ctx context.Context)) {
+	p.loops.Go(func() { run(p.parts.Base) })
+}
+
+func (p *process) serve(name string, run func() error) {
+	p.loops.Go(func() { p.check(name, run()) })
+}
+
+func (p *process) serveHTTP(name string, server *http.Server, l net.Listener) {
+	p.serve(name, func() error { return server.Serve(l) })
+}
+
+// check fails the daemon if a part has ended by an error before the daemon stops.
+func (p *process) check(name string, err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	p.parts.Log.WithFields(logrus.Fields{"event": "part_failed", "part": name, "error": err.Error()}).Error()
+	p.failOnce.Do(func() { close(p.failed) })
+}
+
+// sweep closes idle connections to endpoints until ctx ends.
+func (p *process) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.parts.Out.pools.Sweep(now)
+		}
+	}
+}
+
+// stop drains the process: it is no longer ready, hands its leases over, finishes every request, and
+// ends. What still runs shortly before SIGKILL is cut, and counted in the log.
+func (p *process) stop(ctx context.Context) error {
+	p.parts.Log.WithField("event", "drain_started").Info()
+	begun := time.Now()
+	p.draining.Store(true)
+	p.parts.Gateway.Drain()
+	ctx, cancel := context.WithTimeout(ctx, p.parts.Settings.Bounds.Grace-stopMargin)
+	defer cancel()
+	if err := p.parts.Fleet.leases.Drain(ctx); err != nil {
+		p.parts.Log.WithFields(logrus.Fields{"event": "handover_incomplete", "error": err.Error()}).Warn()
+	}
+	pause(ctx, balancerWait-time.Since(begun))
+	for p.parts.Gateway.Running() > 0 && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
+	p.parts.Fleet.leases.Release()
+	cut := p.parts.Gateway.Running()
+	p.close()
+	p.parts.Log.WithFields(logrus.Fields{"event": "stopped", "took": time.Since(begun).Round(time.Millisecond), "cut": cut}).Info()
+	return nil
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// close ends every part.
+func (p *process) close() {
+	_ = p.parts.Servers.callers.Close()
+	_ = p.parts.Servers.readiness.Close()
+	_ = p.parts.Servers.metrics.Close()
+	p.parts.Base.cancel()
+	p.parts.Listeners.close()
+	p.parts.Peers.server.Close()
+	p.parts.Peers.pool.Close()
+	p.loops.Wait()
+	p.parts.Out.pools.Close()
+}
--- a/pkg/lease/claim.go
+++ b/pkg/lease/claim.go
@@ -36,13 +36,17 @@
 }
 
 // known reports whether no VM can act on its peers' word that the table is down without this VM's
-// word: each one is gone, has stopped, or had listed this VM's session when it last renewed its own.
+// word: each one is gone, has stopped, was ended for so long that all its rights have lapsed, or had
+// listed this VM's session when it last renewed its own.
 // m.mu is held.
-func (m *Manager) known() bool {
+func (m *Manager) known(now time.Time) bool {
 	for vm, s := range m.sessions {
 		if vm == m.cfg.ID || s.Closed || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
 			continue
 		}
+		if !s.malformed && s.Ended && now.Sub(s.since) > m.longestDuration()+m.cfg.Margin {
+			continue
+		}
 		if s.malformed || s.Seen < m.own.created {
 			return false
 		}
@@ -109,12 +113,16 @@
 	}
 }
 
+// unprovenRetention is how many times longer the session row of a VM stays that has lapsed but is not
+// proven gone: it may still come back.
+const unprovenRetention = 10
+
 // planDelete adds the deletion of a session row that no lease row names. m.mu is held.
 func (m *Manager) planDelete(p *plan, s session, now time.Time) {
 	if now.Sub(s.since) < m.cfg.SessionRetention {
 		return
 	}
-	if !s.Closed && !m.fleet.Gone(s.VM, s.Incarnation) {
+	if !s.Closed && !m.fleet.Gone(s.VM, s.Incarnation) && now.Sub(s.since) < unprovenRetention*m.cfg.SessionRetention {
 		return
 	}
 	for _, l := range m.leases {
--- a/pkg/lease/fuzz_test.go
+++ b/pkg/lease/fuzz_test.go
@@ -19,7 +19,7 @@
 	f.Fuzz(func(t *testing.T, sessionRow, leaseRow []byte) {
 		table := fleettest.NewTable(1).Client("me", nil)
 		_, err := table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{
-			{Key: "session/x", Value: sessionRow}, {Key: "lease/" + lease.Budget, Value: leaseRow},
+			{Key: "lease/session/x", Value: sessionRow}, {Key: "lease/name/" + lease.Budget, Value: leaseRow},
 		}})
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/lease/guard.go
+++ b/pkg/lease/guard.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/membership"
 )
 
@@ -68,16 +69,16 @@
 			base = answer.Sent
 		}
 	}
-	return base, elapsed(base, now) < m.cfg.Duration
+	return base, clock.Elapsed(base, now) < m.cfg.Duration
 }
 
 // extend lets the rights that are still good count from base on, and the rows if they are still
 // known to be current. What has lapsed stays so. m.mu is held.
 func (m *Manager) extend(base, now time.Time) {
-	if elapsed(m.rowsBase, now) < m.cfg.Duration && base.After(m.rowsBase) {
+	if clock.Elapsed(m.rowsBase, now) < m.cfg.Duration && base.After(m.rowsBase) {
 		m.rowsBase = base
 	}
-	if elapsed(m.own.base, now) < m.cfg.Duration && base.After(m.own.base) {
+	if clock.Elapsed(m.own.base, now) < m.cfg.Duration && base.After(m.own.base) {
 		m.own.base = base
 	}
 	for _, r := range m.rights {
@@ -118,7 +119,7 @@
 // and those whose holder has handed over or is proven gone and for which this VM is the first
 // successor that is not. m.mu is held.
 func (m *Manager) takeOver(now time.Time) {
-	if m.draining || m.stale() || elapsed(m.rowsBase, now) >= m.cfg.Duration {
+	if m.draining || m.stale() || clock.Elapsed(m.rowsBase, now) >= m.cfg.Duration {
 		return
 	}
 	for name, l := range m.leases {
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/chart"
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/membership"
 	"github.com/mallowlink/mallowlink/pkg/peer"
 	"github.com/mallowlink/mallowlink/pkg/platform"
@@ -122,7 +123,6 @@
 	released  map[string][]byte
 	// yieldUntil keeps this VM from claiming back a lease that it has handed over.
 	yieldUntil    map[string]time.Time
-	overSince     map[string]time.Time // when a session was first seen over, by VM
 	nextRebalance time.Time
 	draining      bool
 	closed        bool
@@ -171,7 +171,6 @@
 		releasing:  map[string]bool{},
 		released:   map[string][]byte{},
 		yieldUntil: map[string]time.Time{},
-		overSince:  map[string]time.Time{},
 	}
 }
 
@@ -273,19 +272,13 @@
 func (m *Manager) valid(r *right, now time.Time) bool {
 	switch r.life.State() {
 	case stateHeld:
-		return elapsed(m.own.base, now) < m.cfg.Duration
+		return clock.Elapsed(m.own.base, now) < m.cfg.Duration
 	case stateProvisional:
-		return elapsed(r.base, now) < m.cfg.Duration
+		return clock.Elapsed(r.base, now) < m.cfg.Duration
 	}
 	return false
 }
 
-// elapsed returns the time from base to now by the monotonic or the wall clock, whichever has gone
-// further: the monotonic clock stands still while a whole VM is suspended.
-func elapsed(base, now time.Time) time.Duration {
-	return max(now.Sub(base), now.Round(0).Sub(base.Round(0)))
-}
-
 // Status returns what heartbeats tell of the store and the leases.
 func (m *Manager) Status() (storeDown bool, leaseSeen uint64, claims []membership.Claim) {
 	m.mu.RLock()
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -94,7 +94,7 @@
 		p.wait(m.windowOpens())
 		return p
 	}
-	if !m.known() {
+	if !m.known(now) {
 		return p
 	}
 	m.planClaims(p, live, now)
@@ -112,7 +112,7 @@
 		Duration:    m.cfg.Duration,
 		Seen:        m.seen,
 		Draining:    m.draining,
-		Able:        m.own.created != 0 && !m.draining && m.window(now) && m.known(),
+		Able:        m.own.created != 0 && !m.draining && m.window(now) && m.known(now),
 	}
 }
 
--- a/pkg/lease/rows.go
+++ b/pkg/lease/rows.go
@@ -11,8 +11,9 @@
 
 // Key prefixes of the rows in the table.
 const (
-	sessionPrefix = "session/"
-	leasePrefix   = "lease/"
+	rowPrefix     = "lease/"
+	sessionPrefix = rowPrefix + "session/"
+	leasePrefix   = rowPrefix + "name/"
 )
 
 // fencingStep is the distance between two fencing numbers that the table gives. The numbers between
--- a/pkg/lease/snapshot.go
+++ b/pkg/lease/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mallowlink/mallowlink/pkg/chart"
+	"github.com/mallowlink/mallowlink/pkg/clock"
 )
 
 // Snapshot is the manager's state for the state dump.
@@ -75,5 +76,5 @@
 }
 
 func (m *Manager) remaining(base, now time.Time) time.Duration {
-	return max(m.cfg.Duration-elapsed(base, now), 0)
+	return max(m.cfg.Duration-clock.Elapsed(base, now), 0)
 }
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/chart"
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/membership"
 	"github.com/mallowlink/mallowlink/pkg/platform"
 )
@@ -89,16 +90,12 @@
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.StoreTimeout)
 	defer cancel()
 	sent := time.Now()
-	sessions, err := m.table.List(ctx, sessionPrefix)
-	if err != nil {
-		m.markDown("list")
-		return false
-	}
-	leases, err := m.table.List(ctx, leasePrefix)
+	rows, err := m.table.List(ctx, rowPrefix)
 	if err != nil {
 		m.markDown("list")
 		return false
 	}
+	sessions, leases := split(rows)
 	now := time.Now()
 	m.mu.Lock()
 	m.takeSessions(sessions, now)
@@ -115,6 +112,19 @@
 	return true
 }
 
+// split tells the session rows from the lease rows.
+func split(rows []platform.Row) (sessions, leases []platform.Row) {
+	for _, row := range rows {
+		switch {
+		case strings.HasPrefix(row.Key, sessionPrefix):
+			sessions = append(sessions, row)
+		case strings.HasPrefix(row.Key, leasePrefix):
+			leases = append(leases, row)
+		}
+	}
+	return sessions, leases
+}
+
 // sightings returns what the listing at now tells of VMs. m.mu is held.
 func (m *Manager) sightings(now time.Time) []membership.Sighting {
 	var list []membership.Sighting
@@ -200,7 +210,7 @@
 // renewed takes in a write of this VM's session that was sent at sent. A right that had lapsed
 // before stays lost. m.mu is held.
 func (m *Manager) renewed(version uint64, sent, now time.Time) {
-	if elapsed(m.own.base, now) >= m.cfg.Duration {
+	if clock.Elapsed(m.own.base, now) >= m.cfg.Duration {
 		m.dropHeld(eventLapsed)
 	}
 	m.own.version = version
--- a/pkg/membership/registry.go
+++ b/pkg/membership/registry.go
@@ -73,7 +73,8 @@
 	records map[string]*record // by VM ID, guarded by mu
 }
 
-// New returns a registry that knows only this VM.
+// New returns a registry that knows only this VM. Without a lister it knows the VMs that it is told of
+// by Learn and by their heartbeats.
 func New(cfg Config, lister platform.VMLister, caller peer.Caller, log logrus.FieldLogger) *Registry {
 	cfg.setDefaults()
 	return &Registry{
@@ -111,7 +112,9 @@
 func (r *Registry) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { every(ctx, r.cfg.ListInterval, r.pollList) })
+	if r.lister != nil {
+		group.Go(func() { every(ctx, r.cfg.ListInterval, r.pollList) })
+	}
 	group.Go(func() { r.announceLoop(ctx, &group) })
 	every(ctx, r.cfg.BeatInterval, func(ctx context.Context) {
 		r.beatAll(ctx, &group)
--- /dev/null
+++ b/pkg/orders/message.go
@@ -0,0 +1,102 @@
+// Package orders gives engines their orders, for all VMs. The VM that holds the lease of an engine
+// keeps the books on its adapters; the other VMs ask it before they send a request that names one.
+package orders
+
+import (
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/dialect"
+)
+
+// ServiceName is the name under which the daemon registers Service with net/rpc.
+const ServiceName = "Orders"
+
+// Methods of the service.
+const (
+	AcquireMethod = ServiceName + ".Acquire"
+	ReportMethod  = ServiceName + ".Report"
+)
+
+// Status is the answer to a request for a place.
+type Status int
+
+// Answers to requests for a place.
+const (
+	// Granted says that the request may be sent now.
+	Granted Status = iota
+	// Busy says that the engine has more work than the request's bound allows.
+	Busy
+	// NotOwner says that the called VM does not give orders to the engine.
+	NotOwner
+	// Late says that the adapter cannot be loaded in time.
+	Late
+	// Waiting says that the adapter is on its way. The caller asks again at once if it wants to wait on.
+	Waiting
+)
+
+// MaxWait bounds how long one call waits for an adapter, so that a caller soon learns that a VM does
+// not answer.
+const MaxWait = 100 * time.Millisecond
+
+// String names the status.
+func (s Status) String() string {
+	return [...]string{"granted", "busy", "not_owner", "late", "waiting"}[s]
+}
+
+// AcquireArgs asks for a place for one request at an engine.
+type AcquireArgs struct {
+	// Caller and Incarnation name the process that asks, Permit its request.
+	Caller      string
+	Incarnation string
+	Permit      uint64
+	// Endpoint and Started name the engine's process.
+	Endpoint string
+	Started  int64
+	Model    string
+	Adapter  string
+	// Urgency ranks the request; 0 is first.
+	Urgency int
+	// Tokens is the length of the prompt, Output the bound of the answer.
+	Tokens, Output int
+	Prompt         []dialect.PromptPart
+	// Left is how long the adapter is waited for at most.
+	Left time.Duration
+	// Bound is the longest expected time to the first token that the caller accepts; 0 for any.
+	Bound time.Duration
+	// Ended are permits of the caller that have ended, or begun to run, since its last call.
+	Ended []Notice
+}
+
+// AcquireReply is the answer.
+type AcquireReply struct {
+	Status Status
+	// Version is the version of the adapter to ask for; 0 for requests without one.
+	Version int
+	// Estimate is the expected time to the first token, without the wait for the adapter.
+	Estimate time.Duration
+	// Waited is how long the request has waited for the adapter, Delay how long it still will.
+	Waited time.Duration
+	Delay  time.Duration
+}
+
+// Notice tells what has become of a permit.
+type Notice struct {
+	Permit uint64
+	// Started says that the first token has arrived, First after how long.
+	Started bool
+	First   time.Duration
+	// Ended says that the request has ended at the engine.
+	Ended bool
+	// Missing says that the engine did not hold the adapter.
+	Missing bool
+}
+
+// ReportArgs passes notices on.
+type ReportArgs struct {
+	Caller      string
+	Incarnation string
+	Notices     []Notice
+}
+
+// ReportReply is the answer.
+type ReportReply struct{}
--- /dev/null
+++ b/pkg/orders/service.go
@@ -0,0 +1,196 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/residency"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+// LeasePrefix precedes the number of a share of the engines.
+const LeasePrefix = "engines/"
+
+// Shares is the number of leases among which the engines are divided. It is a few times the number of
+// VMs that should give orders, so that they get about equal parts.
+const Shares = 32
+
+// LeaseNames returns the names of all leases on engines.
+func LeaseNames() []string {
+	names := make([]string, Shares)
+	for i := range names {
+		names[i] = leaseName(i)
+	}
+	return names
+}
+
+func leaseName(share int) string { return fmt.Sprintf("%s%02d", LeasePrefix, share) }
+
+// LeaseOf returns the name of the lease that gives the right to order an engine.
+func LeaseOf(endpoint string) string {
+	return leaseName(int(xxhash.Sum64String(endpoint) % Shares))
+}
+
+// Spec is what is known of the engines of a group.
+type Spec struct {
+	// Places is the number of adapters that an engine holds at once.
+	Places int
+	// CacheTokens is an engine's memory for prompts, in tokens.
+	CacheTokens int
+}
+
+// Config holds what the service works with.
+type Config struct {
+	// Self identifies this VM.
+	Self    string
+	Leases  lease.Lessor
+	Engines engine.Engines
+	Roster  *roster.Roster
+	// Spec returns what is known of a group's engines, false if it has none.
+	Spec func(group string) (Spec, bool)
+	// Model returns the base model of a group.
+	Model func(group string) string
+	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
+	Newest  func(residency.Key) int
+	Metrics metrics.Registry
+	Log     logrus.FieldLogger
+}
+
+type meters struct {
+	orders metrics.Counter
+}
+
+// Service gives orders to the engines whose leases this VM holds. It implements lease.Listener.
+type Service struct {
+	cfg    Config
+	meters meters
+	ctx    context.Context
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	workers map[roster.Incarnation]*worker
+	leases  map[string]bool
+}
+
+// NewService returns a service without leases. ctx ends its work.
+func NewService(ctx context.Context, cfg Config) *Service {
+	return &Service{
+		cfg: cfg, ctx: ctx,
+		meters:  meters{orders: metrics.GetOrRegisterCounter("orders.given", cfg.Metrics)},
+		workers: map[roster.Incarnation]*worker{}, leases: map[string]bool{},
+	}
+}
+
+// LeaseGained implements lease.Listener.
+func (s *Service) LeaseGained(grant lease.Grant) {
+	s.mu.Lock()
+	s.leases[grant.Name] = true
+	s.mu.Unlock()
+	s.Refresh()
+}
+
+// LeaseLost implements lease.Listener.
+func (s *Service) LeaseLost(name string) {
+	s.mu.Lock()
+	delete(s.leases, name)
+	s.mu.Unlock()
+	s.Refresh()
+}
+
+// Refresh starts work for the engines that this VM is to order by its leases and the roster, and ends
+// it for the others.
+func (s *Service) Refresh() {
+	view := s.cfg.Roster.View()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, w := range s.workers {
+		e, ok := view.Endpoint(id.ID)
+		if !ok || e.Incarnation != id || !s.leases[w.lease] {
+			w.cancel()
+			delete(s.workers, id)
+		}
+	}
+	for _, e := range view.All() {
+		name := LeaseOf(e.ID)
+		if s.workers[e.Incarnation] != nil || !s.leases[name] {
+			continue
+		}
+		spec, ok := s.cfg.Spec(e.Group)
+		if !ok {
+			continue
+		}
+		s.begin(e, name, spec)
+	}
+}
+
+// begin starts work for an engine. s.mu is held.
+func (s *Service) begin(e roster.Endpoint, leaseName string, spec Spec) {
+	w := newWorker(s, e, leaseName, spec)
+	ctx, cancel := context.WithCancel(s.ctx)
+	w.cancel = cancel
+	s.workers[e.Incarnation] = w
+	go w.run(ctx)
+	s.cfg.Log.WithFields(logrus.Fields{"event": "engine_taken", "endpoint": e.ID, "lease": leaseName}).Info()
+}
+
+func (s *Service) worker(id roster.Incarnation) *worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[id]
+}
+
+// Acquire lets a request through to an engine.
+func (s *Service) Acquire(args *AcquireArgs, reply *AcquireReply) error {
+	s.take(args.Incarnation, args.Ended)
+	w := s.worker(roster.Incarnation{ID: args.Endpoint, Started: args.Started})
+	if w == nil {
+		*reply = AcquireReply{Status: NotOwner}
+		return nil
+	}
+	if _, held := s.cfg.Leases.Held(w.lease); !held {
+		*reply = AcquireReply{Status: NotOwner}
+		return nil
+	}
+	*reply = w.acquire(s.ctx, args)
+	return nil
+}
+
+// Report takes in notices.
+func (s *Service) Report(args *ReportArgs, _ *ReportReply) error {
+	s.take(args.Incarnation, args.Notices)
+	return nil
+}
+
+func (s *Service) take(incarnation string, notices []Notice) {
+	if len(notices) == 0 {
+		return
+	}
+	s.mu.Lock()
+	workers := make([]*worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		workers = append(workers, w)
+	}
+	s.mu.Unlock()
+	for _, n := range notices {
+		for _, w := range workers {
+			if w.notice(incarnation, n) {
+				break
+			}
+		}
+	}
+}
+
+// Engines returns the number of engines that this VM gives orders to.
+func (s *Service) Engines() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.workers)
+}
--- /dev/null
+++ b/pkg/orders/worker.go
@@ -0,0 +1,311 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/residency"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+	"github.com/mallowlink/mallowlink/pkg/upstream"
+)
+
+const (
+	// orderTimeout bounds one order; an engine answers within a few milliseconds.
+	orderTimeout = 200 * time.Millisecond
+	// idleCheck is how often permits are looked through for those that must have ended.
+	idleCheck = time.Second
+	// leasePause is the time between two looks at a lease that does not hold.
+	leasePause = 50 * time.Millisecond
+)
+
+// worker gives one engine its orders while this VM holds its lease.
+type worker struct {
+	s        *Service
+	endpoint roster.Endpoint
+	lease    string
+	wake     chan struct{}
+	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	books   *residency.Books
+	load    load
+	waiters map[residency.Key][]*waiter
+}
+
+// waiter is a request that waits for an adapter.
+type waiter struct {
+	args  *AcquireArgs
+	begun time.Time
+	// reply receives the answer; it has room for one.
+	reply chan AcquireReply
+	done  bool
+}
+
+func newWorker(s *Service, e roster.Endpoint, leaseName string, spec Spec) *worker {
+	return &worker{
+		s: s, endpoint: e, lease: leaseName, wake: make(chan struct{}, 1),
+		books: residency.New(residency.Config{
+			Places:     spec.Places,
+			MaxLoading: residency.DefaultMaxLoading,
+			WarmCount:  residency.DefaultWarmCount,
+			Newest:     s.cfg.Newest,
+		}),
+		load:    newLoad(spec.CacheTokens),
+		waiters: map[residency.Key][]*waiter{},
+	}
+}
+
+// signal makes the work loop look again.
+func (w *worker) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run gives orders until ctx ends.
+func (w *worker) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		w.mu.Lock()
+		w.expire(now)
+		action, ok, due := w.books.Next(now)
+		w.mu.Unlock()
+		if ok {
+			w.act(ctx, action)
+			continue
+		}
+		w.sleep(ctx, now, due)
+	}
+}
+
+func (w *worker) sleep(ctx context.Context, now, due time.Time) {
+	wait := idleCheck
+	if !due.IsZero() {
+		wait = min(wait, max(due.Sub(now), time.Millisecond))
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-w.wake:
+	}
+}
+
+// act makes one call to the engine. The lease is checked last before an order is given.
+func (w *worker) act(ctx context.Context, a residency.Action) {
+	target := upstream.Target{ID: w.endpoint.ID, Started: w.endpoint.Started, Address: w.endpoint.Address}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if a.Kind == residency.Report {
+		report, err := w.s.cfg.Engines.Report(ctx, target)
+		w.reported(a, report, err)
+		return
+	}
+	grant, held := w.s.cfg.Leases.Held(w.lease)
+	if !held {
+		time.Sleep(leasePause)
+		return
+	}
+	reply, err := w.s.cfg.Engines.Order(ctx, target, engine.Order{
+		Holder:   w.s.cfg.Self,
+		Fencing:  grant.Fencing,
+		Expected: a.Expected,
+		Adapter:  a.Adapter,
+		Evict:    a.Kind == residency.Evict || a.Kind == residency.ConfirmEvict,
+	})
+	w.replied(a, reply, err)
+}
+
+func (w *worker) reported(a residency.Action, report engine.Report, err error) {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.books.Lost(a, now)
+		w.s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "report_failed", "endpoint": w.endpoint.ID}).Warn()
+		return
+	}
+	ok := w.books.Sync(report, now)
+	w.s.cfg.Log.WithFields(logrus.Fields{
+		"event": "books_synced", "endpoint": w.endpoint.ID, "accepted": report.Accepted,
+		"held": len(report.Loaded), "pending": len(report.Pending), "used": ok,
+	}).Info()
+	w.serve(now)
+}
+
+func (w *worker) replied(a residency.Action, reply engine.Reply, err error) {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	entry := w.s.cfg.Log.WithFields(logrus.Fields{
+		"event": "order", "endpoint": w.endpoint.ID, "kind": a.Kind.String(),
+		"adapter": a.Adapter.Name, "expected": a.Expected,
+	})
+	w.s.meters.orders.Inc(1)
+	switch {
+	case err == nil:
+		w.books.Took(a, reply, now)
+		if a.Kind != residency.Confirm || reply != engine.Accepted {
+			entry.WithField("reply", reply.String()).Debug()
+		}
+	case errors.Is(err, engine.ErrNotSent):
+		w.books.NotSent(a, now)
+		entry.WithError(err).Warn()
+	default:
+		w.books.Lost(a, now)
+		entry.WithError(err).Warn()
+	}
+	if a.Kind == residency.Evict && reply == engine.Holds {
+		w.load.cache.forget(a.Adapter.Name)
+	}
+	w.serve(now)
+}
+
+// serve lets the requests through whose adapter can be used now. w.mu is held.
+func (w *worker) serve(now time.Time) {
+	for key, list := range w.waiters {
+		if !w.books.Loaded(key) {
+			continue
+		}
+		delete(w.waiters, key)
+		for _, wt := range list {
+			w.books.Unwant(key)
+			reply, ok := w.letThrough(wt.args, key, now)
+			if !ok {
+				reply = AcquireReply{Status: Waiting}
+			}
+			reply.Waited = now.Sub(wt.begun)
+			wt.done = true
+			wt.reply <- reply
+		}
+	}
+}
+
+// expire drops the permits whose requests must have ended. w.mu is held.
+func (w *worker) expire(now time.Time) {
+	for _, key := range w.load.expired(now) {
+		w.end(key, now)
+	}
+}
+
+// end ends a permit. w.mu is held.
+func (w *worker) end(key permitKey, now time.Time) {
+	if p := w.load.end(key); p != nil && p.adapter != "" {
+		w.books.Release(residency.Key{Model: w.model(), Name: p.adapter}, now)
+	}
+}
+
+func (w *worker) model() string { return w.s.cfg.Model(w.endpoint.Group) }
+
+// acquire lets a request through, at once or once its adapter is loaded.
+func (w *worker) acquire(ctx context.Context, args *AcquireArgs) AcquireReply {
+	begun := time.Now()
+	key := residency.Key{Model: args.Model, Name: args.Adapter}
+	w.mu.Lock()
+	estimate := w.estimate(args)
+	if args.Bound > 0 && estimate > args.Bound {
+		w.mu.Unlock()
+		return AcquireReply{Status: Busy, Estimate: estimate}
+	}
+	if reply, ok := w.letThrough(args, key, begun); ok {
+		w.mu.Unlock()
+		return reply
+	}
+	if delay := w.books.Delay(key, begun); w.books.Synced() && delay > args.Left {
+		w.mu.Unlock()
+		return AcquireReply{Status: Late, Estimate: estimate, Delay: delay}
+	}
+	wt := &waiter{args: args, begun: begun, reply: make(chan AcquireReply, 1)}
+	w.waiters[key] = append(w.waiters[key], wt)
+	w.books.Want(key, args.Urgency, begun)
+	w.mu.Unlock()
+	w.signal()
+	return w.await(ctx, wt, key)
+}
+
+// await waits until the adapter can be used, at most for MaxWait.
+func (w *worker) await(ctx context.Context, wt *waiter, key residency.Key) AcquireReply {
+	timer := time.NewTimer(min(wt.args.Left, MaxWait))
+	defer timer.Stop()
+	select {
+	case reply := <-wt.reply:
+		return reply
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return w.leave(wt, key)
+}
+
+// estimate returns the expected time to the first token of a request. w.mu is held.
+func (w *worker) estimate(args *AcquireArgs) time.Duration {
+	return w.load.estimate(w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens))
+}
+
+// letThrough notes a permit if the adapter can be used now. w.mu is held.
+func (w *worker) letThrough(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
+	unread := w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
+	reply := AcquireReply{Status: Granted, Estimate: w.load.estimate(unread)}
+	if args.Adapter != "" {
+		version, ok := w.books.Hold(key, now)
+		if !ok {
+			return AcquireReply{}, false
+		}
+		reply.Version = version
+	}
+	w.load.cache.note(args.Adapter, args.Prompt)
+	w.load.add(permitKey{args.Incarnation, args.Permit}, args.Adapter, unread, now.Add(args.Left+permitGrace))
+	return reply, true
+}
+
+// leave takes a waiter out and returns the answer that it gets.
+func (w *worker) leave(wt *waiter, key residency.Key) AcquireReply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if wt.done {
+		return <-wt.reply
+	}
+	w.books.Unwant(key)
+	if left := slices.DeleteFunc(w.waiters[key], func(other *waiter) bool { return other == wt }); len(left) > 0 {
+		w.waiters[key] = left
+	} else {
+		delete(w.waiters, key)
+	}
+	now := time.Now()
+	return AcquireReply{Status: Waiting, Waited: now.Sub(wt.begun), Delay: w.books.Delay(key, now)}
+}
+
+// notice takes in what has become of a permit.
+func (w *worker) notice(incarnation string, n Notice) bool {
+	now := time.Now()
+	key := permitKey{incarnation, n.Permit}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.load.permits[key]
+	if p == nil {
+		return false
+	}
+	if n.Started {
+		w.load.start(key, n.First)
+	}
+	if n.Missing {
+		w.books.Missing(residency.Key{Model: w.model(), Name: p.adapter}, now)
+		w.signal()
+	}
+	if n.Ended {
+		w.end(key, now)
+		if len(w.waiters) > 0 {
+			w.signal()
+		}
+	}
+	return true
+}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
 
@@ -58,7 +59,7 @@
 
 // expire drops tokens whose time is over. a.mu is held.
 func (a *account) expire(now time.Time) {
-	if age := max(now.Sub(a.granted), now.Round(0).Sub(a.granted.Round(0))); age >= grantLife {
+	if age := clock.Elapsed(a.granted, now); age >= grantLife {
 		a.tokens = 0
 	}
 }
--- /dev/null
+++ b/pkg/residency/books.go
@@ -0,0 +1,244 @@
+// Package residency keeps the books on the adapters that one engine holds, and decides which to load
+// and which to evict. It needs no network and no clock: times and replies are passed in.
+package residency
+
+import (
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+// Key names an adapter in any version.
+type Key struct {
+	Model string
+	Name  string
+}
+
+// KeyOf returns the key of an adapter.
+func KeyOf(a roster.Adapter) Key { return Key{Model: a.Model, Name: a.Name} }
+
+// Config holds what the books go by.
+type Config struct {
+	// Places is the number of adapters that the engine holds at once, those on their way included.
+	Places int
+	// MaxLoading bounds the loads under way at once.
+	MaxLoading int
+	// WarmCount is the number of adapters evicted last that the engine is taken to load quickly.
+	WarmCount int
+	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
+	Newest func(Key) int
+}
+
+const (
+	// DefaultMaxLoading is below what engines take at once: more loads at once than the weight store
+	// serves at full speed make each of them slower.
+	DefaultMaxLoading = 3
+	// DefaultWarmCount is about the number of adapters that an engine's memory keeps.
+	DefaultWarmCount = 80
+	// firstCold and firstWarm are the load times expected before one was seen.
+	firstCold = 250 * time.Millisecond
+	firstWarm = 25 * time.Millisecond
+	// pollStep is the time between two questions whether a load has ended that is overdue.
+	pollStep = 8 * time.Millisecond
+	// settle is how long an engine's report may lag behind its orders, with a margin: reports are
+	// some hundred milliseconds old.
+	settle = 300 * time.Millisecond
+	// learnRate is the weight of a new load time in the average.
+	learnRate = 0.2
+)
+
+// state is the state of an adapter at the engine, by the books.
+type state int
+
+const (
+	loading state = iota
+	loaded
+	leaving
+)
+
+// slot is an adapter that takes a place.
+type slot struct {
+	state   state
+	version int
+	// users counts the requests that may be using the adapter.
+	users   int
+	lastUse time.Time
+	// ordered is when the order under way was given, poll when to ask for its end.
+	ordered time.Time
+	poll    time.Time
+	warm    bool
+	// unsure says that the order got no answer.
+	unsure bool
+}
+
+// want is an adapter that requests wait for.
+type want struct {
+	waiters int
+	// urgency is that of the most urgent waiter, since when the first one came.
+	urgency int
+	since   time.Time
+}
+
+// Books are the books on one engine. They are not safe for concurrent use.
+type Books struct {
+	cfg Config
+	// accepted is the engine's count of orders. ahead says that it may be one more.
+	accepted int64
+	ahead    bool
+	synced   bool
+	// syncAt is when a report may be read that shows all orders.
+	syncAt time.Time
+	slots  map[Key]*slot
+	wants  map[Key]*want
+	warm   warmList
+	// cold and quick are the load times to expect.
+	cold, quick time.Duration
+}
+
+// New returns books that know nothing of the engine yet.
+func New(cfg Config) *Books {
+	return &Books{
+		cfg: cfg, slots: map[Key]*slot{}, wants: map[Key]*want{}, warm: newWarmList(cfg.WarmCount),
+		cold: firstCold, quick: firstWarm,
+	}
+}
+
+// Sync takes in a report that was read at now. It reports false for one that is older than what the
+// books know.
+func (b *Books) Sync(r engine.Report, now time.Time) bool {
+	if b.synced && r.Accepted < b.accepted {
+		b.syncAt = now.Add(settle)
+		return false
+	}
+	old := b.slots
+	b.slots = map[Key]*slot{}
+	for _, a := range r.Loaded {
+		b.adopt(a, loaded, old, now)
+	}
+	for _, a := range r.Pending {
+		b.adopt(a, loading, old, now)
+	}
+	for key, s := range old {
+		// Requests that were let through to an adapter that is gone end on their own.
+		if b.slots[key] == nil && s.users > 0 {
+			b.warm.add(key)
+		}
+	}
+	b.accepted, b.ahead, b.synced = r.Accepted, false, true
+	return true
+}
+
+func (b *Books) adopt(a roster.Adapter, st state, old map[Key]*slot, now time.Time) {
+	s := &slot{state: st, version: a.Version, ordered: now, poll: now.Add(pollStep)}
+	if before := old[KeyOf(a)]; before != nil {
+		s.users, s.lastUse = before.users, before.lastUse
+	}
+	b.slots[KeyOf(a)] = s
+}
+
+// Synced reports whether the books know what the engine holds.
+func (b *Books) Synced() bool { return b.synced }
+
+// Forget makes the books wait for a report.
+func (b *Books) Forget(now time.Time) {
+	b.synced = false
+	b.syncAt = now.Add(settle)
+}
+
+// Hold lets one request use the adapter, if the engine holds it in the newest version. It returns the
+// version to ask for.
+func (b *Books) Hold(key Key, now time.Time) (int, bool) {
+	s := b.slots[key]
+	if !b.synced || s == nil || s.state != loaded || b.stale(key, s) {
+		return 0, false
+	}
+	s.users++
+	s.lastUse = now
+	return s.version, true
+}
+
+// stale reports whether the operator has declared a newer version.
+func (b *Books) stale(key Key, s *slot) bool { return s.version < b.cfg.Newest(key) }
+
+// Release ends one request's use of the adapter.
+func (b *Books) Release(key Key, now time.Time) {
+	if s := b.slots[key]; s != nil && s.users > 0 {
+		s.users--
+		s.lastUse = now
+	}
+}
+
+// Want asks for the adapter on behalf of one waiting request.
+func (b *Books) Want(key Key, urgency int, now time.Time) {
+	w := b.wants[key]
+	if w == nil {
+		w = &want{urgency: urgency, since: now}
+		b.wants[key] = w
+	}
+	w.waiters++
+	w.urgency = min(w.urgency, urgency)
+}
+
+// Unwant ends the wait of one request.
+func (b *Books) Unwant(key Key) {
+	w := b.wants[key]
+	if w == nil {
+		return
+	}
+	w.waiters--
+	if w.waiters <= 0 {
+		delete(b.wants, key)
+	}
+}
+
+// Missing takes in that the engine has rejected a request for an adapter that the books say it holds.
+func (b *Books) Missing(key Key, now time.Time) {
+	if s := b.slots[key]; s != nil && s.state == loaded {
+		b.Forget(now)
+	}
+}
+
+// Loaded reports whether the adapter can be used now.
+func (b *Books) Loaded(key Key) bool {
+	s := b.slots[key]
+	return b.synced && s != nil && s.state == loaded && !b.stale(key, s)
+}
+
+// Delay returns how long a request for the adapter would have to wait for it.
+func (b *Books) Delay(key Key, now time.Time) time.Duration {
+	if b.Loaded(key) {
+		return 0
+	}
+	if s := b.slots[key]; s != nil && s.state == loading {
+		return max(s.ordered.Add(b.expected(s.warm)).Sub(now), pollStep)
+	}
+	ahead := 0
+	for other := range b.wants {
+		if s := b.slots[other]; other != key && (s == nil || s.state != loading) {
+			ahead++
+		}
+	}
+	rounds := time.Duration(ahead/max(b.cfg.MaxLoading, 1) + 1)
+	return b.expected(b.warm.has(key)) * rounds
+}
+
+// expected returns the time that a load takes.
+func (b *Books) expected(warm bool) time.Duration {
+	if warm {
+		return b.quick
+	}
+	return b.cold
+}
+
+// Count returns the adapters held and those on their way.
+func (b *Books) Count() (held, underWay int) {
+	for _, s := range b.slots {
+		if s.state == loading {
+			underWay++
+		} else {
+			held++
+		}
+	}
+	return held, underWay
+}
--- /dev/null
+++ b/pkg/residency/next.go
@@ -0,0 +1,315 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+// Kind is what an action is.
+type Kind int
+
+// Kinds of action.
+const (
+	// Report reads the engine's report, for Sync.
+	Report Kind = iota
+	// Load orders a load, and Confirm repeats the order to learn whether the load has ended.
+	Load
+	Confirm
+	// Evict orders an adapter unloaded, and ConfirmEvict repeats the order.
+	Evict
+	ConfirmEvict
+)
+
+// String names the kind.
+func (k Kind) String() string {
+	return [...]string{"report", "load", "confirm", "evict", "confirm_evict"}[k]
+}
+
+// Action is the next call to make to the engine.
+type Action struct {
+	Kind    Kind
+	Adapter roster.Adapter
+	// Expected is the engine's count of orders that the call depends on.
+	Expected int64
+}
+
+// Next returns the next call to make. If there is none, it returns when there may be one, zero if
+// only a new request can bring one.
+func (b *Books) Next(now time.Time) (Action, bool, time.Time) {
+	if !b.synced {
+		if now.Before(b.syncAt) {
+			return Action{}, false, b.syncAt
+		}
+		return Action{Kind: Report}, true, time.Time{}
+	}
+	if a, ok := b.nextPoll(now); ok {
+		return a, true, time.Time{}
+	}
+	if a, ok := b.nextLoad(now); ok {
+		return a, true, time.Time{}
+	}
+	return Action{}, false, b.nextDue()
+}
+
+// count returns the count to expect from the engine.
+func (b *Books) count() int64 {
+	if b.ahead {
+		return b.accepted + 1
+	}
+	return b.accepted
+}
+
+// nextPoll returns the most overdue question for the end of an order.
+func (b *Books) nextPoll(now time.Time) (Action, bool) {
+	var best Key
+	var found *slot
+	for key, s := range b.slots {
+		if s.state == loaded || s.poll.After(now) {
+			continue
+		}
+		if found == nil || s.poll.Before(found.poll) {
+			best, found = key, s
+		}
+	}
+	if found == nil {
+		return Action{}, false
+	}
+	kind := Confirm
+	if found.state == leaving {
+		kind = ConfirmEvict
+	}
+	return b.action(kind, best, found.version), true
+}
+
+func (b *Books) action(kind Kind, key Key, version int) Action {
+	return Action{
+		Kind:     kind,
+		Adapter:  roster.Adapter{Model: key.Model, Name: key.Name, Version: version},
+		Expected: b.count(),
+	}
+}
+
+// nextLoad returns the load that is wanted most, or the eviction that makes room for it.
+func (b *Books) nextLoad(now time.Time) (Action, bool) {
+	if b.loading() >= b.cfg.MaxLoading {
+		return Action{}, false
+	}
+	key, ok := b.mostWanted()
+	if !ok {
+		return Action{}, false
+	}
+	newest := b.cfg.Newest(key)
+	if b.slots[key] != nil || len(b.slots) < b.cfg.Places {
+		return b.action(Load, key, newest), true
+	}
+	victim, ok := b.victim(now)
+	if !ok {
+		return Action{}, false
+	}
+	return b.action(Evict, victim, 0), true
+}
+
+func (b *Books) loading() int {
+	n := 0
+	for _, s := range b.slots {
+		if s.state == loading {
+			n++
+		}
+	}
+	return n
+}
+
+// mostWanted returns the adapter to load next: the one with the most urgent waiter, then the one
+// waited for longest.
+func (b *Books) mostWanted() (Key, bool) {
+	var best Key
+	var found *want
+	for key, w := range b.wants {
+		s := b.slots[key]
+		if s != nil && (s.state != loaded || !b.stale(key, s)) {
+			continue
+		}
+		if found == nil || w.urgency < found.urgency || w.urgency == found.urgency && w.since.Before(found.since) {
+			best, found = key, w
+		}
+	}
+	return best, found != nil
+}
+
+// victim returns the idle adapter that was used least recently.
+func (b *Books) victim(now time.Time) (Key, bool) {
+	var best Key
+	var found *slot
+	for key, s := range b.slots {
+		if s.state != loaded || s.users > 0 || b.wants[key] != nil {
+			continue
+		}
+		if found == nil || s.lastUse.Before(found.lastUse) {
+			best, found = key, s
+		}
+	}
+	return best, found != nil
+}
+
+// nextDue returns when the next question for the end of an order is due.
+func (b *Books) nextDue() time.Time {
+	var due time.Time
+	for _, s := range b.slots {
+		if s.state != loaded && (due.IsZero() || s.poll.Before(due)) {
+			due = s.poll
+		}
+	}
+	return due
+}
+
+// Took takes in the engine's reply to an action other than Report.
+func (b *Books) Took(a Action, reply engine.Reply, now time.Time) {
+	switch reply {
+	case engine.Accepted:
+		b.accept(a, now)
+	case engine.Holds:
+		b.holds(a, now)
+	case engine.Conflict:
+		b.conflict(a, now)
+	case engine.Busy:
+		b.postpone(a, now)
+	default:
+		b.Forget(now)
+	}
+}
+
+// accept takes in that the engine carries the order out.
+func (b *Books) accept(a Action, now time.Time) {
+	key := KeyOf(a.Adapter)
+	s := b.slots[key]
+	switch a.Kind {
+	case Load:
+		b.settleCount(a.Expected + 1)
+		b.begin(key, a, now)
+	case Confirm:
+		// An engine answers so to the repeated order while the load lasts, and to the order itself if
+		// it had not arrived before.
+		if s != nil && s.unsure {
+			b.settleCount(a.Expected + 1)
+			s.unsure = false
+			s.ordered = now
+			s.poll = now.Add(b.expected(s.warm))
+			return
+		}
+		b.postpone(a, now)
+	case Evict, ConfirmEvict:
+		if a.Kind == Evict || s != nil && s.unsure {
+			b.settleCount(a.Expected + 1)
+		}
+		if s != nil {
+			s.state, s.unsure = leaving, false
+			s.poll = now.Add(pollStep)
+		}
+	}
+}
+
+// settleCount takes in the engine's count of orders.
+func (b *Books) settleCount(n int64) { b.accepted, b.ahead = n, false }
+
+// begin notes a load that has been ordered.
+func (b *Books) begin(key Key, a Action, now time.Time) {
+	s := b.slots[key]
+	if s == nil {
+		s = &slot{}
+		b.slots[key] = s
+	}
+	s.state, s.version, s.ordered, s.warm = loading, max(a.Adapter.Version, 1), now, b.warm.has(key)
+	s.poll = now.Add(b.expected(s.warm))
+}
+
+// holds takes in that what the order asks for is so.
+func (b *Books) holds(a Action, now time.Time) {
+	key := KeyOf(a.Adapter)
+	s := b.slots[key]
+	switch a.Kind {
+	case Load:
+		b.begin(key, a, now)
+		b.slots[key].state = loaded
+	case Confirm:
+		if s != nil {
+			if !s.unsure {
+				b.learn(s, now)
+			}
+			s.state, s.unsure, s.lastUse = loaded, false, now
+			b.warm.drop(key)
+		}
+	case Evict, ConfirmEvict:
+		// An idle adapter is unloaded at once, which counts as an order. If the count was one more than
+		// known, the order that got no answer had unloaded it.
+		if !b.ahead && (a.Kind == Evict || s != nil && s.unsure) {
+			b.settleCount(a.Expected + 1)
+		}
+		delete(b.slots, key)
+		b.warm.add(key)
+	}
+	if b.ahead {
+		b.settleCount(a.Expected)
+	}
+}
+
+// learn takes a load's time into the average.
+func (b *Books) learn(s *slot, now time.Time) {
+	took := now.Sub(s.ordered)
+	average := &b.cold
+	if s.warm {
+		average = &b.quick
+	}
+	*average += time.Duration(learnRate * float64(took-*average))
+}
+
+// conflict takes in that the engine's count is another one. After an order without an answer it may
+// be one more than known; otherwise a report has to tell.
+func (b *Books) conflict(a Action, now time.Time) {
+	s := b.slots[KeyOf(a.Adapter)]
+	if s != nil && s.unsure && !b.ahead {
+		b.ahead = true
+		s.poll = now
+		return
+	}
+	b.Forget(now)
+}
+
+// postpone asks again a little later.
+func (b *Books) postpone(a Action, now time.Time) {
+	if s := b.slots[KeyOf(a.Adapter)]; s != nil {
+		s.poll = now.Add(pollStep)
+	}
+}
+
+// Lost takes in that an action got no answer. An order may have been accepted, or may be carried out
+// later as long as the engine's count is the one that it expects: until another order is accepted its
+// place counts as taken.
+func (b *Books) Lost(a Action, now time.Time) {
+	key := KeyOf(a.Adapter)
+	switch a.Kind {
+	case Report:
+		b.syncAt = now.Add(settle)
+		return
+	case Load:
+		b.begin(key, a, now)
+		b.slots[key].unsure = true
+	case Evict:
+		if s := b.slots[key]; s != nil {
+			s.state, s.unsure = leaving, true
+		}
+	}
+	if s := b.slots[key]; s != nil {
+		s.poll = now
+	}
+}
+
+// NotSent takes in that an action has not reached the engine.
+func (b *Books) NotSent(a Action, now time.Time) {
+	if a.Kind == Report {
+		b.syncAt = now.Add(settle)
+		return
+	}
+	b.postpone(a, now)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -42,12 +42,14 @@
 type View struct {
 	byID   map[string]Endpoint
 	groups map[string][]Endpoint
+	all    []Endpoint
 }
 
 // NewView returns a view of the endpoints.
 func NewView(endpoints []Endpoint) *View {
 	v := &View{byID: make(map[string]Endpoint, len(endpoints)), groups: map[string][]Endpoint{}}
 	sorted := slices.Clone(endpoints)
+	v.all = sorted
 	slices.SortFunc(sorted, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	for _, e := range sorted {
 		v.byID[e.ID] = e
@@ -65,6 +67,9 @@
 // Group returns the endpoints of a group by ID. The caller must not change the slice.
 func (v *View) Group(name string) []Endpoint { return v.groups[name] }
 
+// All returns every endpoint by ID. The caller must not change the slice.
+func (v *View) All() []Endpoint { return v.all }
+
 // Len returns the number of endpoints.
 func (v *View) Len() int { return len(v.byID) }
 
