Count client accounts' limits within the deployment's own window

Cause: pkg/quota holds an account to a token bucket over any interval, and lets requests wait for tokens; the platform counts within a sliding window and states what it tolerates. Change: pkg/allowance.

--- /dev/null
+++ b/pkg/allowance/account.go
@@ -0,0 +1,168 @@
+package allowance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// tokenLife is how long after its request was sent a VM may spend what it was given. It outlasts the
+	// takeover of an account's home.
+	tokenLife = 5 * time.Second
+	// tokenMargin is what the home waits on top, for clocks that drift apart.
+	tokenMargin = 200 * time.Millisecond
+	// scarceShare is the part of what may be lent below which VMs get no more than they need.
+	scarceShare = 0.3
+	// spareParts is the number of parts of the room of which one VM may take one beyond its need.
+	spareParts = 4
+	// minRetry and maxRetry bound the time after which a refused caller should come back.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 10 * time.Second
+)
+
+// Request tells an account's home what a VM has spent, and asks for tokens.
+type Request struct {
+	Account     string
+	VM          string
+	Incarnation string
+	// Spent is what the VM has spent in each bin of the window, the newest first.
+	Spent []int64
+	// Held is what it has and may still spend.
+	Held int64
+	// Want is the tokens asked for, Need the least that is of use.
+	Want, Need int64
+}
+
+// Reply is the home's answer.
+type Reply struct {
+	// NotHome says that the called VM is not the account's home.
+	NotHome bool
+	Tokens  int64
+	// Excess says that the account is beyond its limit, within what is tolerated.
+	Excess bool
+	// RetryAfter is when Need tokens will be there, if Tokens is less.
+	RetryAfter time.Duration
+}
+
+// account is what a home knows of one client account. It is not safe for concurrent use.
+type account struct {
+	policy Policy
+	limit  Limit
+	vms    map[string]*vmUse
+	// began is when this VM became the home. What was spent before is told by the VMs; unknown is the
+	// number of those that have not called yet, of total.
+	began   time.Time
+	unknown map[string]bool
+	total   int
+}
+
+// vmUse is what one process has spent and holds.
+type vmUse struct {
+	spent     ring
+	held      int64
+	heldUntil time.Time
+}
+
+// newAccount returns an account of which the VMs named may have spent within the last window.
+func newAccount(p Policy, l Limit, vms []string, now time.Time) *account {
+	a := &account{policy: p, limit: l, vms: map[string]*vmUse{}, began: now, unknown: map[string]bool{}, total: len(vms)}
+	for _, vm := range vms {
+		a.unknown[vm] = true
+	}
+	return a
+}
+
+// used returns what counts against the limit at now.
+func (a *account) used(now time.Time) float64 {
+	total := int64(0)
+	for _, u := range a.vms {
+		total += u.spent.sum(now) + u.holds(now)
+	}
+	return float64(total) + a.assumed(now)
+}
+
+// holds returns what the process may still spend.
+func (u *vmUse) holds(now time.Time) int64 {
+	if now.After(u.heldUntil) {
+		return 0
+	}
+	return u.held
+}
+
+// forget drops the processes that no longer count.
+func (a *account) forget(now time.Time) {
+	for id, u := range a.vms {
+		if u.spent.sum(now) == 0 && u.holds(now) == 0 {
+			delete(a.vms, id)
+		}
+	}
+}
+
+// assumed returns what the VMs that have not called yet are taken to have spent before this VM became
+// the home: their share of all that may be lent, evenly over the window.
+func (a *account) assumed(now time.Time) float64 {
+	left := 1 - now.Sub(a.began).Seconds()/a.policy.Window.Seconds()
+	if left <= 0 || len(a.unknown) == 0 {
+		return 0
+	}
+	return a.policy.lent(a.limit) * left * float64(len(a.unknown)) / float64(a.total)
+}
+
+// settle takes in what a VM has spent and holds, and answers its request.
+func (a *account) settle(req Request, now time.Time) Reply {
+	a.forget(now)
+	u := a.learn(req, now)
+	used := a.used(now)
+	room := int64(math.Floor(a.policy.lent(a.limit) - used))
+	reply := Reply{Tokens: a.choose(req, room), Excess: used >= a.policy.within(a.limit)}
+	if reply.Tokens < req.Need {
+		reply.RetryAfter = a.retry(req.Need - max(room, 0))
+	}
+	u.held = req.Held + reply.Tokens
+	return reply
+}
+
+// learn takes in what a process has spent and holds.
+func (a *account) learn(req Request, now time.Time) *vmUse {
+	delete(a.unknown, req.VM)
+	u := a.vms[req.Incarnation]
+	if u == nil {
+		u = &vmUse{spent: newRing(a.policy.Window)}
+		a.vms[req.Incarnation] = u
+	}
+	u.take(req, now)
+	return u
+}
+
+// take replaces what was known of the process.
+func (u *vmUse) take(req Request, now time.Time) {
+	u.spent.advance(now)
+	u.spent.start = now
+	clear(u.spent.bins)
+	copy(u.spent.bins, req.Spent)
+	u.held = req.Held
+	u.heldUntil = now.Add(tokenLife + tokenMargin)
+}
+
+// choose returns the tokens to give: what is needed, and what is asked for on top as long as plenty
+// stays for the other VMs.
+func (a *account) choose(req Request, room int64) int64 {
+	if room < req.Need {
+		return 0
+	}
+	spare := room - req.Need
+	if float64(room) < scarceShare*a.policy.lent(a.limit) {
+		return req.Need
+	}
+	return req.Need + min(max(req.Want-req.Need, 0), spare/spareParts)
+}
+
+// retry returns when missing tokens will be there: the window frees what was spent at its begin.
+func (a *account) retry(missing int64) time.Duration {
+	perSecond := a.policy.lent(a.limit) / a.policy.Window.Seconds()
+	if perSecond <= 0 {
+		return maxRetry
+	}
+	d := time.Duration(float64(missing) / perSecond * float64(time.Second))
+	return min(max(d, minRetry), maxRetry)
+}
--- /dev/null
+++ b/pkg/allowance/holder.go
@@ -0,0 +1,328 @@
+package allowance
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/result"
+)
+
+const (
+	// callTimeout bounds one call of a home; VMs are about a millisecond apart.
+	callTimeout = 150 * time.Millisecond
+	// stockTime is the time for whose demand tokens are held in stock.
+	stockTime = 3 * time.Second
+	// refillShare is the part of the stock below which it is filled up.
+	refillShare = 0.5
+	// retryPause is the time after which a home that has not answered is asked again.
+	retryPause = 100 * time.Millisecond
+	// noHomeRetry is when a caller should come back if the account has no home.
+	noHomeRetry = time.Second
+	// demandHalfLife is the time in which past demand loses half its weight.
+	demandHalfLife = time.Second
+)
+
+// HolderConfig holds what a holder works with.
+type HolderConfig struct {
+	Self        string
+	Incarnation string
+	Policy      Policy
+	Limits      Limits
+	Home        *Home
+	Lessor      lease.Lessor
+	Fleet       Fleet
+	Caller      peer.Caller
+}
+
+// Holder is a VM's side of the limits: it spends the tokens that the homes have handed out.
+type Holder struct {
+	cfg HolderConfig
+	ctx context.Context
+
+	mu     sync.Mutex
+	stocks map[string]*stock // by account, guarded by mu
+}
+
+// NewHolder returns a holder without tokens, and makes it known to this VM's home. ctx ends its work.
+func NewHolder(ctx context.Context, cfg HolderConfig) *Holder {
+	h := &Holder{cfg: cfg, ctx: ctx, stocks: map[string]*stock{}}
+	cfg.Home.local = h
+	return h
+}
+
+// Tell returns what this VM has spent and holds of an account.
+func (h *Holder) Tell(account string) Request {
+	s := h.stock(account)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	return Request{
+		Account: account, VM: h.cfg.Self, Incarnation: h.cfg.Incarnation,
+		Spent: s.spent.copyBins(now), Held: s.tokens,
+	}
+}
+
+// stock is what the VM holds of one client account.
+type stock struct {
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	tokens int64
+	// asked is when the last request whose tokens were taken was sent.
+	asked  time.Time
+	excess bool
+	spent  ring
+	// stranded is what was spent without the account's home.
+	stranded ring
+	demand   float64
+	demandAt time.Time
+	asking   bool
+	pausedTo time.Time
+	waiters  []*waiter
+}
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	tokens int64
+	done   chan verdict
+}
+
+// verdict is the answer to a request for tokens.
+type verdict struct {
+	excess bool
+	err    *result.Error
+}
+
+func (h *Holder) stock(account string) *stock {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.stocks[account]
+	if s == nil {
+		s = &stock{spent: newRing(h.cfg.Policy.Window), stranded: newRing(h.cfg.Policy.Window)}
+		h.stocks[account] = s
+	}
+	return s
+}
+
+// Admit spends tokens of the account. excess says that the account is beyond its limit, within what is
+// tolerated. The error is a *result.Error of outcome not-run.
+func (h *Holder) Admit(ctx context.Context, account string, tokens int64) (excess bool, err error) {
+	s := h.stock(account)
+	now := time.Now()
+	s.mu.Lock()
+	s.expire(now)
+	s.want(tokens, now)
+	if len(s.waiters) == 0 && s.tokens >= tokens {
+		s.spend(tokens, now)
+		excess, low := s.excess, float64(s.tokens) < refillShare*s.target()
+		s.mu.Unlock()
+		if low {
+			h.ask(account, s, now)
+		}
+		return excess, nil
+	}
+	w := &waiter{tokens: tokens, done: make(chan verdict, 1)}
+	s.waiters = append(s.waiters, w)
+	s.mu.Unlock()
+	h.ask(account, s, now)
+	select {
+	case v := <-w.done:
+		if v.err != nil {
+			return false, v.err
+		}
+		return v.excess, nil
+	case <-ctx.Done():
+		s.leave(w)
+		return false, noHome()
+	}
+}
+
+// leave takes out a waiter whose request has ended.
+func (s *stock) leave(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiters = slices.DeleteFunc(s.waiters, func(other *waiter) bool { return other == w })
+}
+
+// Return gives back the tokens of a request that has not run.
+func (h *Holder) Return(account string, tokens int64) {
+	s := h.stock(account)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spent.take(tokens, time.Now())
+	s.tokens += tokens
+}
+
+// expire drops tokens whose time is over. s.mu is held.
+func (s *stock) expire(now time.Time) {
+	if clock.Elapsed(s.asked, now) >= tokenLife {
+		s.tokens = 0
+	}
+}
+
+// want takes demand into the average. s.mu is held.
+func (s *stock) want(tokens int64, now time.Time) {
+	if !s.demandAt.IsZero() {
+		s.demand *= math.Exp2(-now.Sub(s.demandAt).Seconds() / demandHalfLife.Seconds())
+	}
+	s.demandAt = now
+	s.demand += float64(tokens)
+}
+
+// target returns the stock to hold. s.mu is held.
+func (s *stock) target() float64 {
+	perSecond := s.demand * math.Ln2 / demandHalfLife.Seconds()
+	return perSecond * stockTime.Seconds()
+}
+
+// spend takes tokens out of the stock. s.mu is held.
+func (s *stock) spend(tokens int64, now time.Time) {
+	s.tokens -= tokens
+	s.spent.add(tokens, now)
+}
+
+// ask asks the account's home, unless a request is under way or the home has just failed to answer.
+func (h *Holder) ask(account string, s *stock, now time.Time) {
+	s.mu.Lock()
+	if s.asking {
+		s.mu.Unlock()
+		return
+	}
+	if now.Before(s.pausedTo) {
+		h.strand(account, s, now)
+		s.mu.Unlock()
+		return
+	}
+	s.asking = true
+	s.mu.Unlock()
+	go h.askLoop(account, s)
+}
+
+// askLoop asks the home as long as requests wait that it may help.
+func (h *Holder) askLoop(account string, s *stock) {
+	for {
+		sent := time.Now()
+		s.mu.Lock()
+		s.expire(sent)
+		req := s.request(account, sent)
+		s.mu.Unlock()
+		req.VM, req.Incarnation = h.cfg.Self, h.cfg.Incarnation
+		reply, ok := h.call(req)
+		now := time.Now()
+		s.mu.Lock()
+		if ok {
+			s.accept(req, reply, sent, now)
+		} else {
+			s.pausedTo = now.Add(retryPause)
+			h.strand(account, s, now)
+		}
+		if len(s.waiters) == 0 || h.ctx.Err() != nil {
+			s.asking = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+	}
+}
+
+// request states what the waiters need, and what the stock lacks. s.mu is held.
+func (s *stock) request(account string, now time.Time) Request {
+	need := int64(0)
+	if len(s.waiters) > 0 {
+		need = max(s.waiters[0].tokens-s.tokens, 0)
+	}
+	waiting := int64(0)
+	for _, w := range s.waiters {
+		waiting += w.tokens
+	}
+	want := max(waiting+int64(s.target())-s.tokens, need)
+	return Request{Account: account, Spent: s.spent.copyBins(now), Held: s.tokens, Want: want, Need: need}
+}
+
+// accept takes in the home's answer: it admits the waiters that there are tokens for, and refuses the
+// first of the others if it cannot be helped. s.mu is held.
+func (s *stock) accept(req Request, reply Reply, sent, now time.Time) {
+	if clock.Elapsed(sent, now) >= tokenLife {
+		return
+	}
+	s.tokens += reply.Tokens
+	s.asked, s.excess = sent, reply.Excess
+	s.serve(now)
+	if len(s.waiters) == 0 || reply.Tokens >= req.Need {
+		return
+	}
+	for len(s.waiters) > 0 && s.waiters[0].tokens > s.tokens {
+		over := result.New(result.OverRate, "the client account is over its limit")
+		over.RetryAfter = reply.RetryAfter
+		s.answer(verdict{err: over})
+		s.serve(now)
+	}
+}
+
+// serve admits waiters in order while tokens last. s.mu is held.
+func (s *stock) serve(now time.Time) {
+	for len(s.waiters) > 0 && s.tokens >= s.waiters[0].tokens {
+		s.spend(s.waiters[0].tokens, now)
+		s.answer(verdict{excess: s.excess})
+	}
+}
+
+// answer ends the first wait. s.mu is held.
+func (s *stock) answer(v verdict) {
+	s.waiters[0].done <- v
+	s.waiters = s.waiters[1:]
+}
+
+// strand answers the waiters without the account's home, from what each VM may use so. s.mu is held.
+func (h *Holder) strand(account string, s *stock, now time.Time) {
+	limit, known := h.cfg.Limits(account)
+	s.serve(now)
+	room := int64(0)
+	if known {
+		room = h.cfg.Policy.stranded(limit, len(h.cfg.Fleet.Members())) - s.stranded.sum(now)
+	}
+	for len(s.waiters) > 0 {
+		tokens := s.waiters[0].tokens
+		if tokens > room {
+			s.answer(verdict{err: noHome()})
+			continue
+		}
+		room -= tokens
+		s.stranded.add(tokens, now)
+		s.spent.add(tokens, now)
+		s.answer(verdict{})
+	}
+}
+
+// noHome is the refusal of a request whose account has no home.
+func noHome() *result.Error {
+	e := result.New(result.NoOwner, "the client account has no home at the moment")
+	e.RetryAfter = noHomeRetry
+	return e
+}
+
+// call asks the account's home, which may be this VM.
+func (h *Holder) call(req Request) (Reply, bool) {
+	holder, ok := h.cfg.Lessor.HolderOf(lease.AccountPrefix + req.Account)
+	if !ok {
+		return Reply{}, false
+	}
+	if holder.VM == h.cfg.Self {
+		reply := h.cfg.Home.Settle(req)
+		return reply, !reply.NotHome
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
+	defer cancel()
+	var reply Reply
+	if err := h.cfg.Caller.Call(ctx, holder.Address, settleMethod, &req, &reply); err != nil {
+		return Reply{}, false
+	}
+	return reply, !reply.NotHome
+}
--- /dev/null
+++ b/pkg/allowance/home.go
@@ -0,0 +1,192 @@
+package allowance
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/peer"
+)
+
+// ServiceName is the name under which the daemon registers Service with net/rpc.
+const ServiceName = "Allowance"
+
+const (
+	settleMethod = ServiceName + ".Settle"
+	tellMethod   = ServiceName + ".Tell"
+)
+
+// tellPause is the time after which a VM that has not told what it has spent is asked again.
+const tellPause = 100 * time.Millisecond
+
+// Fleet tells the VMs that may have spent tokens.
+type Fleet interface {
+	Members() []membership.Member
+}
+
+// Limits returns a client account's limit from the configuration in force.
+type Limits func(account string) (Limit, bool)
+
+// HomeConfig holds what a home works with.
+type HomeConfig struct {
+	Policy Policy
+	Limits Limits
+	Lessor lease.Lessor
+	Fleet  Fleet
+	// FirstStart says that the deployment starts for the first time, so that nothing was spent before.
+	FirstStart bool
+	// Started is when the process started.
+	Started time.Time
+	Caller  peer.Caller
+	Log     logrus.FieldLogger
+}
+
+// TellArgs asks a VM what it has spent and holds of an account.
+type TellArgs struct{ Account string }
+
+// Home hands out the tokens of the client accounts whose leases this VM holds. It implements
+// lease.Listener.
+type Home struct {
+	cfg   HomeConfig
+	ctx   context.Context
+	local *Holder
+
+	mu       sync.Mutex
+	accounts map[string]*account // by name, guarded by mu
+}
+
+// NewHome returns a home without accounts. ctx ends its calls.
+func NewHome(ctx context.Context, cfg HomeConfig) *Home {
+	return &Home{cfg: cfg, ctx: ctx, accounts: map[string]*account{}}
+}
+
+// LeaseGained implements lease.Listener.
+func (h *Home) LeaseGained(grant lease.Grant) {
+	name, ok := strings.CutPrefix(grant.Name, lease.AccountPrefix)
+	if !ok {
+		return
+	}
+	limit, _ := h.cfg.Limits(name)
+	now := time.Now()
+	members := h.spenders(now)
+	vms := make([]string, len(members))
+	for i, m := range members {
+		vms[i] = m.ID
+	}
+	a := newAccount(h.cfg.Policy, limit, vms, now)
+	h.mu.Lock()
+	h.accounts[name] = a
+	h.mu.Unlock()
+	for _, m := range members {
+		if !m.Gone {
+			go h.askTold(name, a, m)
+		}
+	}
+	h.cfg.Log.WithFields(logrus.Fields{"event": "account_home", "account": name, "unknown_vms": len(vms)}).Info()
+}
+
+// askTold asks one VM what it has spent until it has answered or the answer no longer matters.
+func (h *Home) askTold(name string, a *account, m membership.Member) {
+	begun := time.Now()
+	for time.Since(begun) < h.cfg.Policy.Window && h.ctx.Err() == nil {
+		told, ok := h.tell(name, m)
+		h.mu.Lock()
+		done := h.accounts[name] != a || !a.unknown[m.ID]
+		if ok && !done {
+			a.learn(told, time.Now())
+		}
+		h.mu.Unlock()
+		if ok || done {
+			return
+		}
+		time.Sleep(tellPause)
+	}
+}
+
+// tell asks one VM, which may be this one.
+func (h *Home) tell(name string, m membership.Member) (Request, bool) {
+	if m.ID == h.local.cfg.Self {
+		return h.local.Tell(name), true
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
+	defer cancel()
+	var told Request
+	err := h.cfg.Caller.Call(ctx, m.PeerAddress, tellMethod, &TellArgs{Account: name}, &told)
+	return told, err == nil && !told.malformed()
+}
+
+// spenders returns the VMs that may have spent tokens within the last window.
+func (h *Home) spenders(now time.Time) []membership.Member {
+	if h.cfg.FirstStart && now.Sub(h.cfg.Started) < h.cfg.Policy.Window+tokenLife {
+		return nil
+	}
+	return h.cfg.Fleet.Members()
+}
+
+// LeaseLost implements lease.Listener.
+func (h *Home) LeaseLost(name string) {
+	account, ok := strings.CutPrefix(name, lease.AccountPrefix)
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.accounts, account)
+}
+
+// Settle answers a VM's request.
+func (h *Home) Settle(req Request) Reply {
+	limit, known := h.cfg.Limits(req.Account)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[req.Account]
+	if a == nil || !known || req.malformed() {
+		return Reply{NotHome: true}
+	}
+	a.limit = limit
+	reply := a.settle(req, time.Now())
+	// The lease is checked last: its end is what a later home's start waits for.
+	if _, held := h.cfg.Lessor.Held(lease.AccountPrefix + req.Account); !held {
+		return Reply{NotHome: true}
+	}
+	return reply
+}
+
+// maxTokens bounds the token counts in messages, so that sums cannot overflow.
+const maxTokens = int64(1) << 48
+
+// malformed reports whether the request holds numbers that no VM sends.
+func (r Request) malformed() bool {
+	for _, n := range append([]int64{r.Held, r.Want, r.Need}, r.Spent...) {
+		if n < 0 || n > maxTokens {
+			return true
+		}
+	}
+	return false
+}
+
+// Service takes other VMs' calls by net/rpc.
+type Service struct {
+	home   *Home
+	holder *Holder
+}
+
+// NewService returns the service to register with net/rpc under ServiceName.
+func NewService(home *Home, holder *Holder) *Service { return &Service{home: home, holder: holder} }
+
+// Tell tells a new home what this VM has spent and holds.
+func (s *Service) Tell(args *TellArgs, reply *Request) error {
+	*reply = s.holder.Tell(args.Account)
+	return nil
+}
+
+// Settle answers a VM's request.
+func (s *Service) Settle(args *Request, reply *Reply) error {
+	*reply = s.home.Settle(*args)
+	return nil
+}
--- /dev/null
+++ b/pkg/allowance/policy.go
@@ -0,0 +1,47 @@
+// Package allowance holds every client account to its limit across all VMs. Limits count within a
+// sliding window. The VM that holds an account's lease hands out tokens; each VM tells it what it has
+// spent, so that a successor knows as soon as the VMs have called it.
+package allowance
+
+import (
+	"math"
+	"time"
+)
+
+// Limit is a client account's limit.
+type Limit struct {
+	// Rate is in tokens a second, Burst in tokens.
+	Rate  float64
+	Burst float64
+}
+
+// Policy says how limits count.
+type Policy struct {
+	// Window is the span within which an account may use Rate x Window + Burst.
+	Window time.Duration
+	// Overage and Slack are what the deployment tolerates on top: a share of the limit, and tokens.
+	Overage float64
+	Slack   float64
+}
+
+const (
+	// lentShare is the part of the tolerated excess that is handed out. Requests that use it yield to
+	// all others. The rest covers what the account's home cannot count.
+	lentShare = 0.65
+	// strandedShare is the part that all VMs together may use without the account's home.
+	strandedShare = 0.25
+)
+
+// within returns what an account may use within a window by its limit alone.
+func (p Policy) within(l Limit) float64 { return l.Rate*p.Window.Seconds() + l.Burst }
+
+// tolerated returns the excess that the deployment tolerates within a window.
+func (p Policy) tolerated(l Limit) float64 { return p.within(l)*p.Overage + p.Slack }
+
+// lent returns what is handed out within a window at most.
+func (p Policy) lent(l Limit) float64 { return p.within(l) + lentShare*p.tolerated(l) }
+
+// stranded returns what one of n VMs may use within a window without the account's home.
+func (p Policy) stranded(l Limit, n int) int64 {
+	return int64(math.Floor(strandedShare * p.tolerated(l) / float64(max(n, 1))))
+}
--- /dev/null
+++ b/pkg/allowance/ring.go
@@ -0,0 +1,66 @@
+package allowance
+
+import "time"
+
+// binWidth is the resolution in which spending is remembered.
+const binWidth = 500 * time.Millisecond
+
+// ring remembers what was spent in the bins of a window, the newest first.
+type ring struct {
+	bins  []int64
+	start time.Time
+}
+
+func newRing(window time.Duration) ring {
+	return ring{bins: make([]int64, window/binWidth+1)}
+}
+
+// advance moves the ring to now.
+func (r *ring) advance(now time.Time) {
+	if r.start.IsZero() {
+		r.start = now
+		return
+	}
+	steps := int(now.Sub(r.start) / binWidth)
+	if steps <= 0 {
+		return
+	}
+	r.start = r.start.Add(time.Duration(steps) * binWidth)
+	if steps >= len(r.bins) {
+		clear(r.bins)
+		return
+	}
+	copy(r.bins[steps:], r.bins[:len(r.bins)-steps])
+	clear(r.bins[:steps])
+}
+
+func (r *ring) add(tokens int64, now time.Time) {
+	r.advance(now)
+	r.bins[0] += tokens
+}
+
+// take gives back tokens that were not used after all, from the newest bins on.
+func (r *ring) take(tokens int64, now time.Time) {
+	r.advance(now)
+	for i := range r.bins {
+		part := min(tokens, r.bins[i])
+		r.bins[i] -= part
+		tokens -= part
+	}
+}
+
+// sum returns what was spent within the window.
+func (r *ring) sum(now time.Time) int64 {
+	r.advance(now)
+	total := int64(0)
+	for _, n := range r.bins {
+		total += n
+	}
+	return total
+}
+
+// copyBins returns the bins as of now.
+func (r *ring) copyBins(now time.Time) []int64 {
+	r.advance(now)
+	return append([]int64(nil), r.bins...)
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -51,9 +51,14 @@
 	group   bundle.Group
 	terms   dialect.Terms
 	account string
-	// cost is what the account was charged; 0 if nothing.
-	cost int64
-	body []byte
+	// cost is what the request costs its account; charged says that it has paid.
+	cost    int64
+	charged bool
+	// excess says that the account is beyond its limit, within what is tolerated.
+	excess bool
+	// urgency ranks the request; 0 is first.
+	urgency int
+	body    []byte
 
 	place  Place
 	answer *upstream.Answer
@@ -157,6 +162,7 @@
 
 // authenticate finds the account that the caller's key belongs to.
 func (c *call) authenticate(rules *Rules) *result.Error {
+	c.urgency = c.route.Priority
 	if c.route.Open || len(rules.Bundle.Accounts) == 0 {
 		return nil
 	}
@@ -172,6 +178,9 @@
 	}
 	c.account = account.Name
 	c.cost = c.charge(account)
+	if account.HasPriority {
+		c.urgency = account.Priority
+	}
 	return nil
 }
 
@@ -241,10 +250,11 @@
 	if c.cost == 0 {
 		return eventAdmit
 	}
-	if err := c.g.cfg.Quota.Admit(c.ctx, c.account, c.cost); err != nil {
-		c.cost = 0
+	var err error
+	if c.excess, err = c.g.cfg.Quota.Admit(c.ctx, c.account, c.cost); err != nil {
 		return c.refuse(asResult(err))
 	}
+	c.charged = true
 	return eventAdmit
 }
 
@@ -278,7 +288,7 @@
 func (c *call) work() Work {
 	return Work{
 		ID: c.terms.ID, Group: c.group, Route: c.route, Account: c.account, Terms: c.terms,
-		Urgency: c.route.Priority, Arrived: c.arrived, Deadline: c.deadline, Exclude: c.exclude,
+		Urgency: c.urgency, Excess: c.excess, Arrived: c.arrived, Deadline: c.deadline, Exclude: c.exclude,
 	}
 }
 
@@ -298,7 +308,7 @@
 // finish answers the caller unless the answer is on its way, and settles the account.
 func (c *call) finish() {
 	state := c.machine.State()
-	if c.cost > 0 && c.runs == 0 && state != stateAnswered {
+	if c.charged && c.runs == 0 && state != stateAnswered {
 		c.g.cfg.Quota.Return(c.account, c.cost)
 	}
 	c.count(state)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -38,6 +38,9 @@
 	Terms   dialect.Terms
 	// Urgency ranks the request; 0 is first.
 	Urgency int
+	// Excess says that the account is beyond its limit, within what is tolerated: the request yields to
+	// all others.
+	Excess  bool
 	Arrived time.Time
 	// Deadline is when the answer is of no more use.
 	Deadline time.Time
@@ -81,8 +84,9 @@
 
 // Admitter holds client accounts to their limits.
 type Admitter interface {
-	// Admit spends tokens of the account. The error is a *result.Error of outcome not-run.
-	Admit(ctx context.Context, account string, tokens int64) error
+	// Admit spends tokens of the account. excess says that the account is beyond its limit, within what
+	// is tolerated. The error is a *result.Error of outcome not-run.
+	Admit(ctx context.Context, account string, tokens int64) (excess bool, err error)
 	// Return gives back the tokens of a request that has not run.
 	Return(account string, tokens int64)
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -47,7 +47,7 @@
 		LastEvent:      c.relay.lastEvent,
 	}
 	if c.group.Engine != nil {
-		delivery.Urgency = c.route.Priority
+		delivery.Urgency = c.urgency
 	}
 	return upstream.Request{
 		Method: c.r.Method,
--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -7,13 +7,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/follow"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/platform"
-	"github.com/mallowlink/mallowlink/pkg/quota"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
@@ -78,6 +78,11 @@
 		return
 	}
 	b.rules.Store(gateway.NewRules(config))
+	for _, a := range config.Accounts {
+		if old == nil || old.Bundle.Accounts[a.Name] != a {
+			b.log.WithFields(logrus.Fields{"event": "account_limit", "account": a.Name, "rate": a.Rate, "burst": a.Burst}).Info()
+		}
+	}
 	b.log.WithFields(logrus.Fields{
 		"event": "config_in_force", "version": config.Version, "routes": len(config.Routes),
 		"accounts": len(config.Accounts), "keys": len(config.Keys),
@@ -150,13 +155,13 @@
 }
 
 // limit returns a client account's limit.
-func (b *beliefs) limit(account string) (quota.Limit, bool) {
+func (b *beliefs) limit(account string) (allowance.Limit, bool) {
 	rules := b.rules.Load()
 	if rules == nil {
-		return quota.Limit{}, false
+		return allowance.Limit{}, false
 	}
 	a, ok := rules.Bundle.Accounts[account]
-	return quota.Limit{Rate: a.Rate, Burst: a.Burst}, ok
+	return allowance.Limit{Rate: a.Rate, Burst: a.Burst}, ok
 }
 
 // accounts returns the names of the client accounts.
--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -58,7 +58,7 @@
 		fx.Provide(
 			newIdentity, newLogger, metrics.NewRegistry, connect, newBackground, newListeners,
 			newBeliefs, newFollowers, newUpstream,
-			newPeers, newFleet, newQuota, newOrders, newDispatcher, newGateway, newServers, newProcess,
+			newPeers, newFleet, newAllowances, newOrders, newDispatcher, newGateway, newServers, newProcess,
 		),
 		fx.Invoke(connectLeases, registerServices),
 		fx.Populate(&d.process),
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
 	"github.com/mallowlink/mallowlink/pkg/follow"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
@@ -18,7 +19,6 @@
 	"github.com/mallowlink/mallowlink/pkg/membership"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
-	"github.com/mallowlink/mallowlink/pkg/quota"
 	"github.com/mallowlink/mallowlink/pkg/retry"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
@@ -153,7 +153,6 @@
 		Address:     s.Listen.Peer,
 		Duration:    s.Bounds.OrderTurns,
 		Names:       func() []string { return leaseNames(b) },
-		State:       set.stateOf,
 	}, follow.NewMirror(p.Fleet), members, pp.pool, set, log)
 	return fleet{members: members, leases: leases, listeners: set}
 }
@@ -171,8 +170,6 @@
 // before the leases run.
 type listenerSet struct {
 	parts []lease.Listener
-	// state returns what the holder of a lease passes on to the next one.
-	state func(name string) []byte
 }
 
 // LeaseGained implements lease.Listener.
@@ -189,23 +186,23 @@
 	}
 }
 
-func (s *listenerSet) stateOf(name string) []byte {
-	if s.state == nil {
-		return nil
-	}
-	return s.state(name)
-}
-
-// quotas are the two sides of the client accounts' limits.
-type quotas struct {
-	home   *quota.Home
-	holder *quota.Holder
+// allowances are the two sides of the client accounts' limits.
+type allowances struct {
+	home   *allowance.Home
+	holder *allowance.Holder
 }
 
-func newQuota(bg background, id identity, f fleet, b *beliefs, pp peers, log logrus.FieldLogger) quotas {
-	home := quota.NewHome(bg, id.vm, f.leases, f.members, pp.pool, b.limit, log)
-	holder := quota.NewHolder(bg, id.vm, id.incarnation, home, f.leases, pp.pool, b.limit)
-	return quotas{home: home, holder: holder}
+func newAllowances(s Settings, bg background, id identity, f fleet, b *beliefs, pp peers, log logrus.FieldLogger) allowances {
+	policy := allowance.Policy{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack}
+	home := allowance.NewHome(bg, allowance.HomeConfig{
+		Policy: policy, Limits: b.limit, Lessor: f.leases, Fleet: f.members,
+		FirstStart: s.FirstStart, Started: id.started, Caller: pp.pool, Log: log,
+	})
+	holder := allowance.NewHolder(bg, allowance.HolderConfig{
+		Self: id.vm, Incarnation: id.incarnation, Policy: policy, Limits: b.limit,
+		Home: home, Lessor: f.leases, Fleet: f.members, Caller: pp.pool,
+	})
+	return allowances{home: home, holder: holder}
 }
 
 func newOrders(bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
@@ -237,12 +234,12 @@
 	})
 }
 
-func newGateway(s Settings, p Platform, b *beliefs, f *followers, q quotas, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
+func newGateway(s Settings, p Platform, b *beliefs, f *followers, a allowances, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Rules:      b.rules.Load,
 		KeysValid:  f.keysValid,
 		Dialect:    p.Dialect,
-		Quota:      q.holder,
+		Quota:      a.holder,
 		Dispatcher: d,
 		Upstream:   out.client,
 		Retries:    newRetries(s.Bounds).of,
@@ -282,9 +279,8 @@
 
 // connectLeases tells every part that acts under leases of leases gained and lost, and the leases and
 // orders of what has changed.
-func connectLeases(f fleet, b *beliefs, o *orders.Service, q quotas, p *process) {
-	f.listeners.parts = []lease.Listener{o, q.home}
-	f.listeners.state = q.home.State
+func connectLeases(f fleet, b *beliefs, o *orders.Service, a allowances, p *process) {
+	f.listeners.parts = []lease.Listener{o, a.home}
 	f.members.SetStatus(func() membership.Status {
 		storeDown, leaseSeen, claims := f.leases.Status()
 		return membership.Status{
@@ -303,14 +299,14 @@
 }
 
 // registerServices offers this VM's services to the other VMs.
-func registerServices(pp peers, f fleet, q quotas, o *orders.Service) error {
+func registerServices(pp peers, f fleet, a allowances, o *orders.Service) error {
 	services := []struct {
 		name     string
 		receiver any
 	}{
 		{membership.ServiceName, f.members.Service()},
 		{lease.ServiceName, f.leases.Service()},
-		{quota.ServiceName, quota.NewService(q.home, q.holder)},
+		{allowance.ServiceName, allowance.NewService(a.home, a.holder)},
 		{orders.ServiceName, o},
 	}
 	for _, service := range services {
