Load base models, bear lost orders, bound waits, take leases at once after a restart

Change: the books load the base model first and count questions that get no answer as lost after a few round trips; owners answer Down for engines that they cannot reach; requests try the next home, and are refused once their answer would be of little use; a VM claims at once when every other one has said that the table answers it; without its home an account is admitted at each VM's even share. A process that SIGHUP ended goes on.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -48,12 +48,13 @@
 type account struct {
 	policy Policy
 	limit  Limit
-	vms    map[string]*vmUse
-	// began is when this VM became the home. What was spent before is told by the VMs; unknown is the
-	// number of those that have not called yet, of total.
-	began   time.Time
-	unknown map[string]bool
-	total   int
+	// uses are by incarnation.
+	uses map[string]*vmUse
+	// told are the VMs that have told what they have spent since this VM became the home.
+	told map[string]bool
+	// absent is the share of the VMs that cannot tell: each of them goes on at its even share of the
+	// limit, and has done so before.
+	absent float64
 }
 
 // vmUse is what one process has spent and holds.
@@ -63,22 +64,17 @@
 	heldUntil time.Time
 }
 
-// newAccount returns an account of which the VMs named may have spent within the last window.
-func newAccount(p Policy, l Limit, vms []string, now time.Time) *account {
-	a := &account{policy: p, limit: l, vms: map[string]*vmUse{}, began: now, unknown: map[string]bool{}, total: len(vms)}
-	for _, vm := range vms {
-		a.unknown[vm] = true
-	}
-	return a
+func newAccount(p Policy, l Limit) *account {
+	return &account{policy: p, limit: l, uses: map[string]*vmUse{}, told: map[string]bool{}}
 }
 
 // used returns what counts against the limit at now.
 func (a *account) used(now time.Time) float64 {
 	total := int64(0)
-	for _, u := range a.vms {
+	for _, u := range a.uses {
 		total += u.spent.sum(now) + u.holds(now)
 	}
-	return float64(total) + a.assumed(now)
+	return float64(total) + a.absent*a.policy.within(a.limit)
 }
 
 // holds returns what the process may still spend.
@@ -91,23 +87,13 @@
 
 // forget drops the processes that no longer count.
 func (a *account) forget(now time.Time) {
-	for id, u := range a.vms {
+	for id, u := range a.uses {
 		if u.spent.sum(now) == 0 && u.holds(now) == 0 {
-			delete(a.vms, id)
+			delete(a.uses, id)
 		}
 	}
 }
 
-// assumed returns what the VMs that have not called yet are taken to have spent before this VM became
-// the home: their share of all that may be lent, evenly over the window.
-func (a *account) assumed(now time.Time) float64 {
-	left := 1 - now.Sub(a.began).Seconds()/a.policy.Window.Seconds()
-	if left <= 0 || len(a.unknown) == 0 {
-		return 0
-	}
-	return a.policy.lent(a.limit) * left * float64(len(a.unknown)) / float64(a.total)
-}
-
 // settle takes in what a VM has spent and holds, and answers its request.
 func (a *account) settle(req Request, now time.Time) Reply {
 	a.forget(now)
@@ -124,11 +110,11 @@
 
 // learn takes in what a process has spent and holds.
 func (a *account) learn(req Request, now time.Time) *vmUse {
-	delete(a.unknown, req.VM)
-	u := a.vms[req.Incarnation]
+	a.told[req.VM] = true
+	u := a.uses[req.Incarnation]
 	if u == nil {
 		u = &vmUse{spent: newRing(a.policy.Window)}
-		a.vms[req.Incarnation] = u
+		a.uses[req.Incarnation] = u
 	}
 	u.take(req, now)
 	return u
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -79,13 +79,14 @@
 	asked  time.Time
 	excess bool
 	spent  ring
-	// stranded is what was spent without the account's home.
-	stranded ring
-	demand   float64
-	demandAt time.Time
-	asking   bool
-	pausedTo time.Time
-	waiters  []*waiter
+	// stranded are the tokens that may be spent without the account's home, at strandedAt.
+	stranded   float64
+	strandedAt time.Time
+	demand     float64
+	demandAt   time.Time
+	asking     bool
+	pausedTo   time.Time
+	waiters    []*waiter
 }
 
 // waiter is a request that waits for tokens.
@@ -105,7 +106,7 @@
 	defer h.mu.Unlock()
 	s := h.stocks[account]
 	if s == nil {
-		s = &stock{spent: newRing(h.cfg.Policy.Window), stranded: newRing(h.cfg.Policy.Window)}
+		s = &stock{spent: newRing(h.cfg.Policy.Window)}
 		h.stocks[account] = s
 	}
 	return s
@@ -282,25 +283,34 @@
 
 // strand answers the waiters without the account's home, from what each VM may use so. s.mu is held.
 func (h *Holder) strand(account string, s *stock, now time.Time) {
-	limit, known := h.cfg.Limits(account)
 	s.serve(now)
-	room := int64(0)
-	if known {
-		room = h.cfg.Policy.stranded(limit, len(h.cfg.Fleet.Members())) - s.stranded.sum(now)
+	if limit, known := h.cfg.Limits(account); known {
+		s.fillStranded(h.cfg.Policy.pace(limit, len(h.cfg.Fleet.Members())), now)
 	}
 	for len(s.waiters) > 0 {
 		tokens := s.waiters[0].tokens
-		if tokens > room {
+		if float64(tokens) > s.stranded {
 			s.answer(verdict{err: noHome()})
 			continue
 		}
-		room -= tokens
-		s.stranded.add(tokens, now)
+		s.stranded -= float64(tokens)
 		s.spent.add(tokens, now)
 		s.answer(verdict{})
 	}
 }
 
+// fillStranded moves the tokens that may be spent without the account's home to now. They begin at what
+// one burst allows, and grow at the pace. s.mu is held.
+func (s *stock) fillStranded(pace float64, now time.Time) {
+	most := pace * strandedBurst.Seconds()
+	if s.strandedAt.IsZero() {
+		s.stranded = most
+	} else {
+		s.stranded = min(s.stranded+pace*now.Sub(s.strandedAt).Seconds(), most)
+	}
+	s.strandedAt = now
+}
+
 // noHome is the refusal of a request whose account has no home.
 func noHome() *result.Error {
 	e := result.New(result.NoOwner, "the client account has no home at the moment")
--- a/pkg/allowance/home.go
+++ b/pkg/allowance/home.go
@@ -21,6 +21,10 @@
 	tellMethod   = ServiceName + ".Tell"
 )
 
+// silentAfter is the silence of a VM after which it may be spending without this home. It is shorter
+// than the life of the tokens that the VM holds.
+const silentAfter = 3 * time.Second
+
 // tellPause is the time after which a VM that has not told what it has spent is asked again.
 const tellPause = 100 * time.Millisecond
 
@@ -72,22 +76,24 @@
 		return
 	}
 	limit, _ := h.cfg.Limits(name)
-	now := time.Now()
-	members := h.spenders(now)
-	vms := make([]string, len(members))
-	for i, m := range members {
-		vms[i] = m.ID
-	}
-	a := newAccount(h.cfg.Policy, limit, vms, now)
+	a := newAccount(h.cfg.Policy, limit)
 	h.mu.Lock()
 	h.accounts[name] = a
 	h.mu.Unlock()
-	for _, m := range members {
+	h.cfg.Log.WithFields(logrus.Fields{"event": "account_home", "account": name, "fencing": grant.Fencing}).Info()
+	if h.nothingSpent() {
+		return
+	}
+	for _, m := range h.cfg.Fleet.Members() {
 		if !m.Gone {
 			go h.askTold(name, a, m)
 		}
 	}
-	h.cfg.Log.WithFields(logrus.Fields{"event": "account_home", "account": name, "unknown_vms": len(vms)}).Info()
+}
+
+// nothingSpent reports whether no VM can have spent anything before this process started.
+func (h *Home) nothingSpent() bool {
+	return h.cfg.FirstStart && time.Since(h.cfg.Started) < h.cfg.Policy.Window
 }
 
 // askTold asks one VM what it has spent until it has answered or the answer no longer matters.
@@ -96,7 +102,7 @@
 	for time.Since(begun) < h.cfg.Policy.Window && h.ctx.Err() == nil {
 		told, ok := h.tell(name, m)
 		h.mu.Lock()
-		done := h.accounts[name] != a || !a.unknown[m.ID]
+		done := h.accounts[name] != a || a.told[m.ID]
 		if ok && !done {
 			a.learn(told, time.Now())
 		}
@@ -120,12 +126,22 @@
 	return told, err == nil && !told.malformed()
 }
 
-// spenders returns the VMs that may have spent tokens within the last window.
-func (h *Home) spenders(now time.Time) []membership.Member {
-	if h.cfg.FirstStart && now.Sub(h.cfg.Started) < h.cfg.Policy.Window+tokenLife {
-		return nil
+// absentShare returns the share of the VMs that may be spending without this home: those that have not
+// told, and those that have fallen silent and are not proven gone. h.mu is held.
+func (h *Home) absentShare(a *account) float64 {
+	if h.nothingSpent() {
+		return 0
+	}
+	members := h.cfg.Fleet.Members()
+	absent := 0
+	for _, m := range members {
+		switch {
+		case m.Gone && m.GoneFor > h.cfg.Policy.Window:
+		case !a.told[m.ID], !m.Gone && m.Silent > silentAfter && m.ID != h.local.cfg.Self:
+			absent++
+		}
 	}
-	return h.cfg.Fleet.Members()
+	return float64(absent) / float64(max(len(members), 1))
 }
 
 // LeaseLost implements lease.Listener.
@@ -149,6 +165,8 @@
 		return Reply{NotHome: true}
 	}
 	a.limit = limit
+	a.told[req.VM] = true
+	a.absent = h.absentShare(a)
 	reply := a.settle(req, time.Now())
 	// The lease is checked last: its end is what a later home's start waits for.
 	if _, held := h.cfg.Lessor.Held(lease.AccountPrefix + req.Account); !held {
--- a/pkg/allowance/policy.go
+++ b/pkg/allowance/policy.go
@@ -4,7 +4,6 @@
 package allowance
 
 import (
-	"math"
 	"time"
 )
 
@@ -28,8 +27,8 @@
 	// lentShare is the part of the tolerated excess that is handed out. Requests that use it yield to
 	// all others. The rest covers what the account's home cannot count.
 	lentShare = 0.65
-	// strandedShare is the part that all VMs together may use without the account's home.
-	strandedShare = 0.25
+	// strandedBurst is the time for whose pace a VM without the account's home may spend at once.
+	strandedBurst = time.Second
 )
 
 // within returns what an account may use within a window by its limit alone.
@@ -41,7 +40,8 @@
 // lent returns what is handed out within a window at most.
 func (p Policy) lent(l Limit) float64 { return p.within(l) + lentShare*p.tolerated(l) }
 
-// stranded returns what one of n VMs may use within a window without the account's home.
-func (p Policy) stranded(l Limit, n int) int64 {
-	return int64(math.Floor(strandedShare * p.tolerated(l) / float64(max(n, 1))))
+// pace returns the tokens a second that one of n VMs may spend without the account's home: its even
+// share of the limit.
+func (p Policy) pace(l Limit, n int) float64 {
+	return p.within(l) / p.Window.Seconds() / float64(max(n, 1))
 }
--- a/pkg/bundle/model.go
+++ b/pkg/bundle/model.go
@@ -102,6 +102,8 @@
 	CacheTokens int
 	// MaxAdapters is the number of adapters that an engine holds at once.
 	MaxAdapters int
+	// ModelLoad is how long the base model takes to load.
+	ModelLoad time.Duration
 }
 
 // Endpoint is one model engine or plain service.
--- a/pkg/daemon/command/command.go
+++ b/pkg/daemon/command/command.go
@@ -119,13 +119,15 @@
 }
 
 func newGatewayCommand() *cobra.Command {
-	return &cobra.Command{
+	var opts platform.Options
+	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Run on the users' platform until SIGTERM, dispatching requests directly to endpoints",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			signals := notify()
-			d, err := platform.New()
+			signal.Ignore(syscall.SIGHUP)
+			d, err := platform.New(opts)
 			if err != nil {
 				return err
 			}
@@ -135,6 +137,8 @@
 			return untilSignal(d, signals)
 		},
 	}
+	cmd.Flags().StringVar(&opts.LogLevel, "log-level", "info", "least level of the lines that are logged")
+	return cmd
 }
 
 // stoppable is what runs until a signal.
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -56,7 +56,8 @@
 	Fencing uint64
 	// Expected is the count of accepted orders that the engine must have for this one to be accepted.
 	Expected int64
-	// Adapter is the adapter. Of version 0, the newest version is loaded.
+	// Adapter is the adapter; without a name, its base model is meant. Of version 0, the newest version
+	// is loaded.
 	Adapter roster.Adapter
 	// Evict says that the adapter is to be unloaded.
 	Evict bool
@@ -67,6 +68,8 @@
 	roster.Incarnation
 	// Accepted is the count of accepted orders.
 	Accepted int64
+	// Models are the base models held.
+	Models []string
 	// Loaded are the adapters held, Pending those on their way.
 	Loaded, Pending []roster.Adapter
 	// Queued and Running are the requests at the engine.
--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -183,17 +183,10 @@
 	if rules == nil || rules.Bundle.Groups[group].Engine == nil {
 		return orders.Spec{}, false
 	}
-	e := rules.Bundle.Groups[group].Engine
-	return orders.Spec{Places: e.MaxAdapters, CacheTokens: e.CacheTokens}, true
-}
-
-// model returns the base model of a group.
-func (b *beliefs) model(group string) string {
-	rules := b.rules.Load()
-	if rules == nil {
-		return ""
-	}
-	return rules.Bundle.Groups[group].Model
+	g := rules.Bundle.Groups[group]
+	return orders.Spec{
+		Places: g.Engine.MaxAdapters, CacheTokens: g.Engine.CacheTokens, Model: g.Model, ModelLoad: g.Engine.ModelLoad,
+	}, true
 }
 
 // followers follow the platform's tables.
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -212,7 +212,6 @@
 		Engines: p.Engines(out.client),
 		Roster:  b.roster,
 		Spec:    b.spec,
-		Model:   b.model,
 		Newest:  b.newestOf,
 		Metrics: registry,
 		Log:     log,
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -171,7 +171,7 @@
 			p.wait(due)
 			continue
 		}
-		if m.believed(name) || m.releasing[name] || l.malformed {
+		if m.believed(name) || m.releasing[name] || l.malformed || m.highestClaim(name, false) > l.Fencing {
 			continue
 		}
 		if due = m.turn(name, l, live, now); due.After(now) {
--- a/pkg/lease/schedules_test.go
+++ b/pkg/lease/schedules_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"strings"
@@ -65,6 +66,47 @@
 	return slices.Clone(e.uses)
 }
 
+// spans describes the history of uses: for each fencing number, who used it, from when to when.
+func (e *engine) spans() string {
+	type span struct{ from, to int64 }
+	spans := map[uint64]span{}
+	var numbers []uint64
+	first := int64(math.MaxInt64)
+	for _, op := range e.history() {
+		number := op.Input.(uint64)
+		s, ok := spans[number]
+		if !ok {
+			numbers = append(numbers, number)
+			s = span{op.Call, op.Return}
+		}
+		spans[number] = span{min(s.from, op.Call), max(s.to, op.Return)}
+		first = min(first, op.Call)
+	}
+	slices.Sort(numbers)
+	var b strings.Builder
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, number := range numbers {
+		s := spans[number]
+		fmt.Fprintf(&b, "%d by %s: %s to %s\n", number, e.givers[number], time.Duration(s.from-first), time.Duration(s.to-first))
+	}
+	e.writeViolations(&b, first)
+	return b.String()
+}
+
+// writeViolations describes the uses that began after one with a higher number had ended. e.mu is held.
+func (e *engine) writeViolations(b *strings.Builder, first int64) {
+	for _, low := range e.uses {
+		for _, high := range e.uses {
+			if low.Input.(uint64) < high.Input.(uint64) && low.Call > high.Return {
+				fmt.Fprintf(b, "%d used from %s to %s after %d from %s to %s\n",
+					low.Input, time.Duration(low.Call-first), time.Duration(low.Return-first),
+					high.Input, time.Duration(high.Call-first), time.Duration(high.Return-first))
+			}
+		}
+	}
+}
+
 // seen returns the faults so far.
 func (e *engine) seen() []string {
 	e.mu.Lock()
@@ -139,6 +181,10 @@
 	for g.v.Ctx.Err() == nil {
 		time.Sleep(time.Duration(g.rnd.Int63n(int64(200 * time.Millisecond))))
 		g.v.Gate.Pass()
+		if g.v.Ctx.Err() != nil {
+			// The process was killed while this goroutine slept.
+			return
+		}
 		g.give()
 	}
 }
@@ -209,7 +255,7 @@
 			}
 		}
 		if !porcupine.CheckOperations(fencingModel, e.history()) {
-			e.report("the uses of %s cannot be put in order by fencing number", names[0])
+			e.report("the uses of %s cannot be put in order by fencing number:\n%s", names[0], e.spans())
 		}
 		if faults := e.seen(); len(faults) > 0 {
 			f.t.Errorf("seed %d:\n%s\n%s", seed, strings.Join(chaos.Trace, "\n"), strings.Join(faults, "\n"))
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -61,10 +61,27 @@
 	}
 }
 
-// window reports whether the table has answered for long enough that no VM can hold a lease by its
-// peers' word that the table is down. m.mu is held.
+// window reports whether no VM can hold a lease by its peers' word that the table is down, but for those
+// that they claim: the table has answered for long enough, or every VM says that it answers. m.mu is
+// held.
 func (m *Manager) window(now time.Time) bool {
-	return !m.upSince.IsZero() && !now.Before(m.windowOpens())
+	return !m.upSince.IsZero() && (!now.Before(m.windowOpens()) || m.vouched())
+}
+
+// vouched reports whether every VM that could hold a lease by its peers' word has said, since the table
+// has answered this VM, that it answers it too. From then on none of them can have this VM's word that
+// the table is down. m.mu is held.
+func (m *Manager) vouched() bool {
+	for vm, s := range m.sessions {
+		if vm == m.cfg.ID || s.over() || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
+			continue
+		}
+		answer, ok := m.fleet.Answer(vm, s.Incarnation)
+		if s.malformed || !ok || !answer.Sent.After(m.upSince) || answer.Beat.Status.StoreDown {
+			return false
+		}
+	}
+	return true
 }
 
 // windowOpens returns when window will hold, zero while the table is down. m.mu is held.
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -30,6 +30,8 @@
 	NotOwner
 	// Late says that the adapter cannot be loaded in time.
 	Late
+	// Down says that the engine cannot be reached.
+	Down
 	// Waiting says that the adapter is on its way. The caller asks again at once if it wants to wait on.
 	Waiting
 )
@@ -40,7 +42,7 @@
 
 // String names the status.
 func (s Status) String() string {
-	return [...]string{"granted", "busy", "not_owner", "late", "waiting"}[s]
+	return [...]string{"granted", "busy", "not_owner", "late", "down", "waiting"}[s]
 }
 
 // AcquireArgs asks for a place for one request at an engine.
@@ -59,8 +61,8 @@
 	// Tokens is the length of the prompt, Output the bound of the answer.
 	Tokens, Output int
 	Prompt         []dialect.PromptPart
-	// Left is how long the adapter is waited for at most.
-	Left time.Duration
+	// Left is how long the adapter is waited for at most, Life how long the request lasts at most.
+	Left, Life time.Duration
 	// Bound is the longest expected time to the first token that the caller accepts; 0 for any.
 	Bound time.Duration
 	// Ended are permits of the caller that have ended, or begun to run, since its last call.
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
@@ -44,6 +45,9 @@
 	Places int
 	// CacheTokens is an engine's memory for prompts, in tokens.
 	CacheTokens int
+	// Model is the base model, ModelLoad the time that it takes to load.
+	Model     string
+	ModelLoad time.Duration
 }
 
 // Config holds what the service works with.
@@ -55,8 +59,6 @@
 	Roster  *roster.Roster
 	// Spec returns what is known of a group's engines, false if it has none.
 	Spec func(group string) (Spec, bool)
-	// Model returns the base model of a group.
-	Model func(group string) string
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
 	Newest  func(residency.Key) int
 	Metrics metrics.Registry
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -16,8 +16,18 @@
 )
 
 const (
-	// orderTimeout bounds one order; an engine answers within a few milliseconds.
-	orderTimeout = 200 * time.Millisecond
+	// orderTimes is the number of average round trips after which an order counts as lost. minTimeout and
+	// maxTimeout bound that time, which doubles with each loss in a row.
+	orderTimes = 6
+	minTimeout = 30 * time.Millisecond
+	maxTimeout = 250 * time.Millisecond
+	// firstTrip is the round trip assumed before one was seen; tripRate is the weight of a new one.
+	firstTrip = 5 * time.Millisecond
+	tripRate  = 0.1
+	// firstBackoff is how long an engine that cannot be reached is left alone; it doubles up to
+	// maxBackoff.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = time.Second
 	// idleCheck is how often permits are looked through for those that must have ended.
 	idleCheck = time.Second
 	// leasePause is the time between two looks at a lease that does not hold.
@@ -28,6 +38,7 @@
 type worker struct {
 	s        *Service
 	endpoint roster.Endpoint
+	model    string
 	lease    string
 	wake     chan struct{}
 	cancel   context.CancelFunc
@@ -38,6 +49,12 @@
 	books   *residency.Books
 	load    load
 	waiters map[residency.Key][]*waiter
+	trip    time.Duration
+	losses  int
+	// backoff is how long the engine is left alone after the next failure to reach it; downUntil is when
+	// it is tried next, zero while it can be reached.
+	backoff   time.Duration
+	downUntil time.Time
 }
 
 // waiter is a request that waits for an adapter.
@@ -53,6 +70,8 @@
 	return &worker{
 		s: s, endpoint: e, lease: leaseName, wake: make(chan struct{}, 1),
 		books: residency.New(residency.Config{
+			Model:      spec.Model,
+			ModelLoad:  spec.ModelLoad,
 			Places:     spec.Places,
 			MaxLoading: residency.DefaultMaxLoading,
 			WarmCount:  residency.DefaultWarmCount,
@@ -60,6 +79,8 @@
 		}),
 		load:    newLoad(spec.CacheTokens),
 		waiters: map[residency.Key][]*waiter{},
+		model:   spec.Model,
+		trip:    firstTrip,
 	}
 }
 
@@ -78,6 +99,9 @@
 		w.mu.Lock()
 		w.expire(now)
 		action, ok, due := w.books.Next(now)
+		if now.Before(w.downUntil) {
+			ok, due = false, w.downUntil
+		}
 		w.mu.Unlock()
 		if ok {
 			w.act(ctx, action)
@@ -104,10 +128,12 @@
 // act makes one call to the engine. The lease is checked last before an order is given.
 func (w *worker) act(ctx context.Context, a residency.Action) {
 	target := upstream.Target{ID: w.endpoint.ID, Started: w.endpoint.Started, Address: w.endpoint.Address}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.timeout())
 	defer cancel()
+	begun := time.Now()
 	if a.Kind == residency.Report {
 		report, err := w.s.cfg.Engines.Report(ctx, target)
+		w.tripped(begun, err)
 		w.reported(a, report, err)
 		return
 	}
@@ -123,9 +149,47 @@
 		Adapter:  a.Adapter,
 		Evict:    a.Kind == residency.Evict || a.Kind == residency.ConfirmEvict,
 	})
+	w.tripped(begun, err)
 	w.replied(a, reply, err)
 }
 
+// timeout returns the time after which a call counts as lost.
+func (w *worker) timeout() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(max(orderTimes*w.trip, minTimeout)<<min(w.losses, 4), maxTimeout)
+}
+
+// tripped takes in the outcome of a call that began at begun.
+func (w *worker) tripped(begun time.Time, err error) {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case err == nil:
+		w.trip += time.Duration(tripRate * float64(now.Sub(begun)-w.trip))
+		w.losses, w.backoff, w.downUntil = 0, 0, time.Time{}
+	case errors.Is(err, engine.ErrNotSent):
+		w.backoff = min(max(2*w.backoff, firstBackoff), maxBackoff)
+		w.downUntil = now.Add(w.backoff)
+		w.turnAway()
+	default:
+		w.losses++
+	}
+}
+
+// turnAway ends all waits, because the engine cannot be reached. w.mu is held.
+func (w *worker) turnAway() {
+	for key, list := range w.waiters {
+		for _, wt := range list {
+			w.books.Unwant(key)
+			wt.done = true
+			wt.reply <- AcquireReply{Status: Down}
+		}
+		delete(w.waiters, key)
+	}
+}
+
 func (w *worker) reported(a residency.Action, report engine.Report, err error) {
 	now := time.Now()
 	w.mu.Lock()
@@ -174,7 +238,7 @@
 // serve lets the requests through whose adapter can be used now. w.mu is held.
 func (w *worker) serve(now time.Time) {
 	for key, list := range w.waiters {
-		if !w.books.Loaded(key) {
+		if !w.books.Loaded(key) && (key.Name != "" || !w.books.Ready()) {
 			continue
 		}
 		delete(w.waiters, key)
@@ -201,17 +265,19 @@
 // end ends a permit. w.mu is held.
 func (w *worker) end(key permitKey, now time.Time) {
 	if p := w.load.end(key); p != nil && p.adapter != "" {
-		w.books.Release(residency.Key{Model: w.model(), Name: p.adapter}, now)
+		w.books.Release(residency.Key{Model: w.model, Name: p.adapter}, now)
 	}
 }
 
-func (w *worker) model() string { return w.s.cfg.Model(w.endpoint.Group) }
-
 // acquire lets a request through, at once or once its adapter is loaded.
 func (w *worker) acquire(ctx context.Context, args *AcquireArgs) AcquireReply {
 	begun := time.Now()
 	key := residency.Key{Model: args.Model, Name: args.Adapter}
 	w.mu.Lock()
+	if !w.downUntil.IsZero() {
+		w.mu.Unlock()
+		return AcquireReply{Status: Down}
+	}
 	estimate := w.estimate(args)
 	if args.Bound > 0 && estimate > args.Bound {
 		w.mu.Unlock()
@@ -255,6 +321,9 @@
 func (w *worker) letThrough(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
 	unread := w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
 	reply := AcquireReply{Status: Granted, Estimate: w.load.estimate(unread)}
+	if !w.books.Ready() {
+		return AcquireReply{}, false
+	}
 	if args.Adapter != "" {
 		version, ok := w.books.Hold(key, now)
 		if !ok {
@@ -263,7 +332,7 @@
 		reply.Version = version
 	}
 	w.load.cache.note(args.Adapter, args.Prompt)
-	w.load.add(permitKey{args.Incarnation, args.Permit}, args.Adapter, unread, now.Add(args.Left+permitGrace))
+	w.load.add(permitKey{args.Incarnation, args.Permit}, args.Adapter, unread, now.Add(args.Life+permitGrace))
 	return reply, true
 }
 
@@ -298,7 +367,7 @@
 		w.load.start(key, n.First)
 	}
 	if n.Missing {
-		w.books.Missing(residency.Key{Model: w.model(), Name: p.adapter}, now)
+		w.books.Missing(residency.Key{Model: w.model, Name: p.adapter}, now)
 		w.signal()
 	}
 	if n.Ended {
--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -3,6 +3,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
@@ -20,6 +21,10 @@
 
 // Config holds what the books go by.
 type Config struct {
+	// Model is the base model that the engine has to hold.
+	Model string
+	// ModelLoad is how long the base model takes to load.
+	ModelLoad time.Duration
 	// Places is the number of adapters that the engine holds at once, those on their way included.
 	Places int
 	// MaxLoading bounds the loads under way at once.
@@ -39,8 +44,12 @@
 	// firstCold and firstWarm are the load times expected before one was seen.
 	firstCold = 250 * time.Millisecond
 	firstWarm = 25 * time.Millisecond
-	// pollStep is the time between two questions whether a load has ended that is overdue.
-	pollStep = 8 * time.Millisecond
+	// pollStep is the least time between two questions whether a load has ended; overdueStep is the part
+	// of the time that it has lasted after which the next one follows.
+	pollStep    = 8 * time.Millisecond
+	overdueStep = 0.08
+	// earlyPoll is the part of the expected time of a load after which the first question follows.
+	earlyPoll = 0.92
 	// settle is how long an engine's report may lag behind its orders, with a margin: reports are
 	// some hundred milliseconds old.
 	settle = 300 * time.Millisecond
@@ -52,7 +61,8 @@
 type state int
 
 const (
-	loading state = iota
+	absent state = iota
+	loading
 	loaded
 	leaving
 )
@@ -70,6 +80,14 @@
 	warm    bool
 	// unsure says that the order got no answer.
 	unsure bool
+	// asked is when the last question for the end of the order was answered, zero if none was.
+	asked time.Time
+}
+
+// postpone sets the next question for the end of the order.
+func (s *slot) postpone(now time.Time) {
+	s.asked = now
+	s.poll = now.Add(max(pollStep, time.Duration(overdueStep*float64(now.Sub(s.ordered)))))
 }
 
 // want is an adapter that requests wait for.
@@ -89,9 +107,11 @@
 	synced   bool
 	// syncAt is when a report may be read that shows all orders.
 	syncAt time.Time
-	slots  map[Key]*slot
-	wants  map[Key]*want
-	warm   warmList
+	// base is the engine's base model.
+	base  slot
+	slots map[Key]*slot
+	wants map[Key]*want
+	warm  warmList
 	// cold and quick are the load times to expect.
 	cold, quick time.Duration
 }
@@ -119,11 +139,9 @@
 	for _, a := range r.Pending {
 		b.adopt(a, loading, old, now)
 	}
-	for key, s := range old {
-		// Requests that were let through to an adapter that is gone end on their own.
-		if b.slots[key] == nil && s.users > 0 {
-			b.warm.add(key)
-		}
+	b.base = slot{state: absent}
+	if slices.Contains(r.Models, b.cfg.Model) {
+		b.base.state = loaded
 	}
 	b.accepted, b.ahead, b.synced = r.Accepted, false, true
 	return true
@@ -140,6 +158,9 @@
 // Synced reports whether the books know what the engine holds.
 func (b *Books) Synced() bool { return b.synced }
 
+// Ready reports whether the engine can run requests.
+func (b *Books) Ready() bool { return b.synced && b.base.state == loaded }
+
 // Forget makes the books wait for a report.
 func (b *Books) Forget(now time.Time) {
 	b.synced = false
@@ -150,7 +171,7 @@
 // version to ask for.
 func (b *Books) Hold(key Key, now time.Time) (int, bool) {
 	s := b.slots[key]
-	if !b.synced || s == nil || s.state != loaded || b.stale(key, s) {
+	if !b.Ready() || s == nil || s.state != loaded || b.stale(key, s) {
 		return 0, false
 	}
 	s.users++
@@ -202,7 +223,7 @@
 // Loaded reports whether the adapter can be used now.
 func (b *Books) Loaded(key Key) bool {
 	s := b.slots[key]
-	return b.synced && s != nil && s.state == loaded && !b.stale(key, s)
+	return b.Ready() && s != nil && s.state == loaded && !b.stale(key, s)
 }
 
 // Delay returns how long a request for the adapter would have to wait for it.
@@ -210,6 +231,9 @@
 	if b.Loaded(key) {
 		return 0
 	}
+	if b.synced && b.base.state != loaded {
+		return max(b.cfg.ModelLoad-now.Sub(b.base.ordered), pollStep) + b.cold
+	}
 	if s := b.slots[key]; s != nil && s.state == loading {
 		return max(s.ordered.Add(b.expected(s.warm)).Sub(now), pollStep)
 	}
--- a/pkg/residency/next.go
+++ b/pkg/residency/next.go
@@ -44,6 +44,9 @@
 		}
 		return Action{Kind: Report}, true, time.Time{}
 	}
+	if b.base.state != loaded {
+		return b.nextBase(now)
+	}
 	if a, ok := b.nextPoll(now); ok {
 		return a, true, time.Time{}
 	}
@@ -53,6 +56,26 @@
 	return Action{}, false, b.nextDue()
 }
 
+// nextBase returns the next call for the engine's base model, without which it holds no adapter.
+func (b *Books) nextBase(now time.Time) (Action, bool, time.Time) {
+	if b.base.state == absent {
+		return b.action(Load, Key{Model: b.cfg.Model}, 0), true, time.Time{}
+	}
+	if now.Before(b.base.poll) {
+		return Action{}, false, b.base.poll
+	}
+	return b.action(Confirm, Key{Model: b.cfg.Model}, 0), true, time.Time{}
+}
+
+// slot returns the slot of an adapter, or of the base model for a key without a name; nil if there is
+// none.
+func (b *Books) slot(key Key) *slot {
+	if key.Name == "" {
+		return &b.base
+	}
+	return b.slots[key]
+}
+
 // count returns the count to expect from the engine.
 func (b *Books) count() int64 {
 	if b.ahead {
@@ -128,6 +151,9 @@
 	var found *want
 	for key, w := range b.wants {
 		s := b.slots[key]
+		if key.Name == "" {
+			continue
+		}
 		if s != nil && (s.state != loaded || !b.stale(key, s)) {
 			continue
 		}
@@ -183,7 +209,7 @@
 // accept takes in that the engine carries the order out.
 func (b *Books) accept(a Action, now time.Time) {
 	key := KeyOf(a.Adapter)
-	s := b.slots[key]
+	s := b.slot(key)
 	switch a.Kind {
 	case Load:
 		b.settleCount(a.Expected + 1)
@@ -191,22 +217,25 @@
 	case Confirm:
 		// An engine answers so to the repeated order while the load lasts, and to the order itself if
 		// it had not arrived before.
-		if s != nil && s.unsure {
+		if s == nil {
+			return
+		}
+		if s.unsure {
 			b.settleCount(a.Expected + 1)
-			s.unsure = false
-			s.ordered = now
-			s.poll = now.Add(b.expected(s.warm))
+			b.begin(key, a, now)
 			return
 		}
-		b.postpone(a, now)
+		s.postpone(now)
 	case Evict, ConfirmEvict:
-		if a.Kind == Evict || s != nil && s.unsure {
-			b.settleCount(a.Expected + 1)
+		if s == nil {
+			return
 		}
-		if s != nil {
-			s.state, s.unsure = leaving, false
-			s.poll = now.Add(pollStep)
+		if a.Kind == Evict || s.unsure {
+			b.settleCount(a.Expected + 1)
+			s.ordered = now
 		}
+		s.state, s.unsure = leaving, false
+		s.postpone(now)
 	}
 }
 
@@ -215,28 +244,36 @@
 
 // begin notes a load that has been ordered.
 func (b *Books) begin(key Key, a Action, now time.Time) {
-	s := b.slots[key]
+	s := b.slot(key)
 	if s == nil {
 		s = &slot{}
 		b.slots[key] = s
 	}
-	s.state, s.version, s.ordered, s.warm = loading, max(a.Adapter.Version, 1), now, b.warm.has(key)
-	s.poll = now.Add(b.expected(s.warm))
+	s.state, s.version, s.unsure, s.asked = loading, max(a.Adapter.Version, 1), false, time.Time{}
+	s.ordered, s.warm = now, b.warm.has(key)
+	s.poll = now.Add(b.firstPoll(key, s))
+}
+
+// firstPoll returns how long after an order the first question for its end follows.
+func (b *Books) firstPoll(key Key, s *slot) time.Duration {
+	expected := b.expected(s.warm)
+	if key.Name == "" {
+		expected = b.cfg.ModelLoad
+	}
+	return time.Duration(earlyPoll * float64(expected))
 }
 
 // holds takes in that what the order asks for is so.
 func (b *Books) holds(a Action, now time.Time) {
 	key := KeyOf(a.Adapter)
-	s := b.slots[key]
+	s := b.slot(key)
 	switch a.Kind {
 	case Load:
 		b.begin(key, a, now)
-		b.slots[key].state = loaded
+		b.slot(key).state = loaded
 	case Confirm:
 		if s != nil {
-			if !s.unsure {
-				b.learn(s, now)
-			}
+			b.learn(key, s, now)
 			s.state, s.unsure, s.lastUse = loaded, false, now
 			b.warm.drop(key)
 		}
@@ -254,20 +291,27 @@
 	}
 }
 
-// learn takes a load's time into the average.
-func (b *Books) learn(s *slot, now time.Time) {
+// learn takes a load's time into the average, if it is known well: the question before found the load
+// under way, or this one was the first and came early.
+func (b *Books) learn(key Key, s *slot, now time.Time) {
+	if s.unsure || key.Name == "" {
+		return
+	}
 	took := now.Sub(s.ordered)
 	average := &b.cold
 	if s.warm {
 		average = &b.quick
 	}
+	if s.asked.IsZero() && took > *average {
+		return
+	}
 	*average += time.Duration(learnRate * float64(took-*average))
 }
 
 // conflict takes in that the engine's count is another one. After an order without an answer it may
 // be one more than known; otherwise a report has to tell.
 func (b *Books) conflict(a Action, now time.Time) {
-	s := b.slots[KeyOf(a.Adapter)]
+	s := b.slot(KeyOf(a.Adapter))
 	if s != nil && s.unsure && !b.ahead {
 		b.ahead = true
 		s.poll = now
@@ -278,7 +322,7 @@
 
 // postpone asks again a little later.
 func (b *Books) postpone(a Action, now time.Time) {
-	if s := b.slots[KeyOf(a.Adapter)]; s != nil {
+	if s := b.slot(KeyOf(a.Adapter)); s != nil {
 		s.poll = now.Add(pollStep)
 	}
 }
@@ -294,13 +338,13 @@
 		return
 	case Load:
 		b.begin(key, a, now)
-		b.slots[key].unsure = true
+		b.slot(key).unsure = true
 	case Evict:
-		if s := b.slots[key]; s != nil {
-			s.state, s.unsure = leaving, true
+		if s := b.slot(key); s != nil {
+			s.state, s.unsure, s.ordered = leaving, true, now
 		}
 	}
-	if s := b.slots[key]; s != nil {
+	if s := b.slot(key); s != nil {
 		s.poll = now
 	}
 }
