Keep turns at an engine apart; count what earlier processes have spent; take no request late in a stop

After most VMs were killed the new home of an account took their spending for nothing (QUOTA, 813k of 746k). A stopping VM took requests until the end of its grace and cut them (LOST). Change: lease rows remember who held them, and orders wait until turns are apart; a process tells how much of the window it covers, and the rest is assumed; a stopping VM closes its listener and idle connections after 2.5 s.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -27,6 +27,9 @@
 	Incarnation string
 	// Spent is what the VM has spent in each bin of the window, the newest first.
 	Spent []int64
+	// Covers is the span that Spent covers: not more than the process has run. What an earlier process
+	// on the VM has spent is not known.
+	Covers time.Duration
 	// Held is what it has and may still spend.
 	Held int64
 	// Want is the tokens asked for, Need the least that is of use.
@@ -50,6 +53,8 @@
 	limit  Limit
 	// uses are by incarnation.
 	uses map[string]*vmUse
+	// total is the number of VMs.
+	total int
 	// told are the VMs that have told what they have spent since this VM became the home.
 	told map[string]bool
 	// absent is the share of the VMs that cannot tell: each of them goes on at its even share of the
@@ -64,8 +69,9 @@
 	heldUntil time.Time
 }
 
-func newAccount(p Policy, l Limit) *account {
-	return &account{policy: p, limit: l, uses: map[string]*vmUse{}, told: map[string]bool{}}
+// newAccount returns an account whose tokens n VMs spend.
+func newAccount(p Policy, l Limit, n int) *account {
+	return &account{policy: p, limit: l, total: n, uses: map[string]*vmUse{}, told: map[string]bool{}}
 }
 
 // used returns what counts against the limit at now.
@@ -110,7 +116,10 @@
 
 // learn takes in what a process has spent and holds.
 func (a *account) learn(req Request, now time.Time) *vmUse {
-	a.told[req.VM] = true
+	if !a.told[req.VM] {
+		a.told[req.VM] = true
+		a.assumeBefore(req, now)
+	}
 	u := a.uses[req.Incarnation]
 	if u == nil {
 		u = &vmUse{spent: newRing(a.policy.Window)}
@@ -120,6 +129,21 @@
 	return u
 }
 
+// assumeBefore takes an earlier process on a VM to have spent the VM's even share of all that may be lent,
+// for the part of the window that the present process does not cover.
+func (a *account) assumeBefore(req Request, now time.Time) {
+	u := &vmUse{spent: newRing(a.policy.Window)}
+	u.spent.advance(now)
+	share := a.policy.lent(a.limit) / float64(max(a.total, 1)) / float64(len(u.spent.bins))
+	for i := int(req.Covers / binWidth); i < len(u.spent.bins); i++ {
+		u.spent.bins[i] = int64(share)
+	}
+	a.uses[beforePrefix+req.VM] = u
+}
+
+// beforePrefix precedes a VM in the place of its earlier processes.
+const beforePrefix = "before/"
+
 // take replaces what was known of the process.
 func (u *vmUse) take(req Request, now time.Time) {
 	u.spent.advance(now)
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -32,12 +32,16 @@
 type HolderConfig struct {
 	Self        string
 	Incarnation string
-	Policy      Policy
-	Limits      Limits
-	Home        *Home
-	Lessor      lease.Lessor
-	Fleet       Fleet
-	Caller      peer.Caller
+	// Started is when the process started. FirstStart says that the deployment started then, so that
+	// nothing was spent before.
+	Started    time.Time
+	FirstStart bool
+	Policy     Policy
+	Limits     Limits
+	Home       *Home
+	Lessor     lease.Lessor
+	Fleet      Fleet
+	Caller     peer.Caller
 }
 
 // Holder is a VM's side of the limits: it spends the tokens that the homes have handed out.
@@ -65,10 +69,19 @@
 	s.expire(now)
 	return Request{
 		Account: account, VM: h.cfg.Self, Incarnation: h.cfg.Incarnation,
-		Spent: s.spent.copyBins(now), Held: s.tokens,
+		Spent: s.spent.copyBins(now), Covers: h.covers(now), Held: s.tokens,
 	}
 }
 
+// covers returns the span for which this VM knows what it has spent.
+func (h *Holder) covers(now time.Time) time.Duration {
+	window := h.cfg.Policy.Window + binWidth
+	if h.cfg.FirstStart {
+		return window
+	}
+	return min(now.Sub(h.cfg.Started), window)
+}
+
 // stock is what the VM holds of one client account.
 type stock struct {
 	mu sync.Mutex
@@ -214,7 +227,7 @@
 		s.expire(sent)
 		req := s.request(account, sent)
 		s.mu.Unlock()
-		req.VM, req.Incarnation = h.cfg.Self, h.cfg.Incarnation
+		req.VM, req.Incarnation, req.Covers = h.cfg.Self, h.cfg.Incarnation, h.covers(sent)
 		reply, ok := h.call(req)
 		now := time.Now()
 		s.mu.Lock()
--- a/pkg/allowance/home.go
+++ b/pkg/allowance/home.go
@@ -76,7 +76,8 @@
 		return
 	}
 	limit, _ := h.cfg.Limits(name)
-	a := newAccount(h.cfg.Policy, limit)
+	members := h.cfg.Fleet.Members()
+	a := newAccount(h.cfg.Policy, limit, len(members))
 	h.mu.Lock()
 	h.accounts[name] = a
 	h.mu.Unlock()
@@ -84,7 +85,7 @@
 	if h.nothingSpent() {
 		return
 	}
-	for _, m := range h.cfg.Fleet.Members() {
+	for _, m := range members {
 		if !m.Gone {
 			go h.askTold(name, a, m)
 		}
@@ -133,6 +134,7 @@
 		return 0
 	}
 	members := h.cfg.Fleet.Members()
+	a.total = len(members)
 	absent := 0
 	for _, m := range members {
 		switch {
@@ -165,9 +167,10 @@
 		return Reply{NotHome: true}
 	}
 	a.limit = limit
-	a.told[req.VM] = true
+	now := time.Now()
+	a.learn(req, now)
 	a.absent = h.absentShare(a)
-	reply := a.settle(req, time.Now())
+	reply := a.settle(req, now)
 	// The lease is checked last: its end is what a later home's start waits for.
 	if _, held := h.cfg.Lessor.Held(lease.AccountPrefix + req.Account); !held {
 		return Reply{NotHome: true}
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -199,13 +199,13 @@
 		FirstStart: s.FirstStart, Started: id.started, Caller: pp.pool, Log: log,
 	})
 	holder := allowance.NewHolder(bg, allowance.HolderConfig{
-		Self: id.vm, Incarnation: id.incarnation, Policy: policy, Limits: b.limit,
+		Self: id.vm, Incarnation: id.incarnation, Started: id.started, FirstStart: s.FirstStart, Policy: policy, Limits: b.limit,
 		Home: home, Lessor: f.leases, Fleet: f.members, Caller: pp.pool,
 	})
 	return allowances{home: home, holder: holder}
 }
 
-func newOrders(bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
+func newOrders(s Settings, bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
 	return orders.NewService(bg, orders.Config{
 		Self:    id.vm,
 		Leases:  f.leases,
@@ -213,6 +213,8 @@
 		Roster:  b.roster,
 		Spec:    b.spec,
 		Newest:  b.newestOf,
+		Turns:   s.Bounds.OrderTurns,
+		Started: id.started,
 		Metrics: registry,
 		Log:     log,
 	})
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -31,9 +31,7 @@
 	// sweepPause is the time between two passes over idle connections to endpoints.
 	sweepPause = time.Second
 	// stopMargin is the part of the time until SIGKILL that is left for closing.
-	stopMargin = time.Second
-	// drainPoll is the time between two looks at what is still running.
-	drainPoll = 20 * time.Millisecond
+	stopMargin = 600 * time.Millisecond
 )
 
 // servers are the process's HTTP servers.
@@ -167,8 +165,9 @@
 		p.parts.Log.WithFields(logrus.Fields{"event": "handover_incomplete", "error": err.Error()}).Warn()
 	}
 	pause(ctx, balancerWait-time.Since(begun))
-	for p.parts.Gateway.Running() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+	// No request is taken any more: one that came now could be cut.
+	if err := p.parts.Servers.callers.Shutdown(ctx); err != nil {
+		p.parts.Log.WithFields(logrus.Fields{"event": "drain_cut", "error": err.Error()}).Warn()
 	}
 	p.parts.Fleet.leases.Release()
 	cut := p.parts.Gateway.Running()
--- a/pkg/lease/guard.go
+++ b/pkg/lease/guard.go
@@ -199,5 +199,5 @@
 	// The holder, unless it is this VM, and the successors before this one are proven gone.
 	m.fleet.Announce()
 	gone := rank > 0 && len(m.notGone(l.Lingering)) == 0
-	m.gain(name, r, eventTake, Grant{Name: name, Fencing: fencing, PreviousProvenGone: gone})
+	m.gain(name, r, eventTake, Grant{Name: name, Fencing: fencing, PreviousProvenGone: gone, Recent: l.remember()})
 }
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -41,6 +41,7 @@
 		First:              c.version == 0,
 		PreviousProvenGone: len(c.row.Lingering) == 0,
 		State:              c.state,
+		Recent:             c.row.Recent,
 	}
 }
 
@@ -124,6 +125,7 @@
 		}
 		row := m.row(name, r.grant.Fencing, live)
 		row.Lingering = m.notGone(m.leases[name].Lingering)
+		row.Recent = m.leases[name].remember()
 		p.confirms = append(p.confirms, change{name: name, row: row, version: r.taken})
 	}
 }
@@ -137,6 +139,7 @@
 			continue
 		}
 		row := l.leaseRow
+		row.Recent = row.remember()
 		row.Holder, row.Incarnation, row.Address = "", "", ""
 		row.State = state
 		row.Lingering = m.notGone(slices.DeleteFunc(slices.Clone(l.Lingering), m.isSelf))
@@ -171,6 +174,11 @@
 			p.wait(due)
 			continue
 		}
+		if !exists && now.Before(m.windowOpens()) {
+			// The fleet is starting: the VMs that come first would claim what others are to hold.
+			p.wait(m.windowOpens())
+			continue
+		}
 		if m.believed(name) || m.releasing[name] || l.malformed || m.highestClaim(name, false) > l.Fencing {
 			continue
 		}
@@ -219,6 +227,7 @@
 func (m *Manager) planClaim(p *plan, name string, l lease, live []membership.Member) {
 	c := change{name: name, row: m.row(name, nextFencing(l.Fencing), live), version: l.version}
 	c.row.Lingering = m.lingering(l)
+	c.row.Recent = l.remember()
 	if l.Holder == "" {
 		c.state = l.State
 	}
--- a/pkg/lease/rows.go
+++ b/pkg/lease/rows.go
@@ -54,6 +54,8 @@
 	Address     string      `json:"address,omitempty"`
 	Fencing     uint64      `json:"fencing"`
 	Successors  []successor `json:"successors,omitempty"`
+	// Recent are the VMs that have held the lease, the last one first.
+	Recent []string `json:"recent,omitempty"`
 	// For is the VM that a lease without a holder is meant for, which claims it at once.
 	For string `json:"for,omitempty"`
 	// Lingering are the earlier holders that have neither handed over nor been proven gone, so that
@@ -86,6 +88,23 @@
 	return seenAt{since: now, shown: now, before: t.shown}
 }
 
+// maxRecent bounds the VMs in Recent.
+const maxRecent = 4
+
+// remember returns the VMs that have held the lease once its holder has it no more.
+func (l leaseRow) remember() []string {
+	if l.Holder == "" {
+		return l.Recent
+	}
+	recent := []string{l.Holder}
+	for _, vm := range l.Recent {
+		if vm != l.Holder && len(recent) < maxRecent {
+			recent = append(recent, vm)
+		}
+	}
+	return recent
+}
+
 // session is a sessionRow as read.
 type session struct {
 	sessionRow
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +61,11 @@
 	// Spec returns what is known of a group's engines, false if it has none.
 	Spec func(group string) (Spec, bool)
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
-	Newest  func(residency.Key) int
+	Newest func(residency.Key) int
+	// Turns is the least time between two orders of this VM to an engine that another VM has ordered in
+	// between. Started is when the process started: it does not know of orders before that.
+	Turns   time.Duration
+	Started time.Time
 	Metrics metrics.Registry
 	Log     logrus.FieldLogger
 }
@@ -79,7 +84,10 @@
 	// The fields below are guarded by mu.
 
 	workers map[roster.Incarnation]*worker
-	leases  map[string]bool
+	// leases maps the leases that this VM holds to when it may give orders under them.
+	leases map[string]time.Time
+	// lost maps the leases that this VM has held to when it lost them.
+	lost map[string]time.Time
 }
 
 // NewService returns a service without leases. ctx ends its work.
@@ -87,21 +95,40 @@
 	return &Service{
 		cfg: cfg, ctx: ctx,
 		meters:  meters{orders: metrics.GetOrRegisterCounter("orders.given", cfg.Metrics)},
-		workers: map[roster.Incarnation]*worker{}, leases: map[string]bool{},
+		workers: map[roster.Incarnation]*worker{}, leases: map[string]time.Time{}, lost: map[string]time.Time{},
 	}
 }
 
 // LeaseGained implements lease.Listener.
 func (s *Service) LeaseGained(grant lease.Grant) {
 	s.mu.Lock()
-	s.leases[grant.Name] = true
+	s.leases[grant.Name] = s.turn(grant)
 	s.mu.Unlock()
 	s.Refresh()
 }
 
+// turnMargin is added to the time between turns, for orders that are under way.
+const turnMargin = 100 * time.Millisecond
+
+// turn returns when this VM may give orders under a lease that it has gained. If it has held the lease
+// before and another VM in between, its orders must be apart. s.mu is held.
+func (s *Service) turn(grant lease.Grant) time.Time {
+	if len(grant.Recent) == 0 || grant.Recent[0] == s.cfg.Self || !slices.Contains(grant.Recent, s.cfg.Self) {
+		return time.Time{}
+	}
+	last, ok := s.lost[grant.Name]
+	if !ok {
+		last = s.cfg.Started
+	}
+	return last.Add(s.cfg.Turns + turnMargin)
+}
+
 // LeaseLost implements lease.Listener.
 func (s *Service) LeaseLost(name string) {
 	s.mu.Lock()
+	if _, held := s.leases[name]; held {
+		s.lost[name] = time.Now()
+	}
 	delete(s.leases, name)
 	s.mu.Unlock()
 	s.Refresh()
@@ -115,14 +142,14 @@
 	defer s.mu.Unlock()
 	for id, w := range s.workers {
 		e, ok := view.Endpoint(id.ID)
-		if !ok || e.Incarnation != id || !s.leases[w.lease] {
+		if !ok || e.Incarnation != id || !s.holds(w.lease) {
 			w.cancel()
 			delete(s.workers, id)
 		}
 	}
 	for _, e := range view.All() {
 		name := LeaseOf(e.ID)
-		if s.workers[e.Incarnation] != nil || !s.leases[name] {
+		if s.workers[e.Incarnation] != nil || !s.holds(name) {
 			continue
 		}
 		spec, ok := s.cfg.Spec(e.Group)
@@ -133,9 +160,16 @@
 	}
 }
 
+// holds reports whether this VM holds the lease, by its last event. s.mu is held.
+func (s *Service) holds(name string) bool {
+	_, ok := s.leases[name]
+	return ok
+}
+
 // begin starts work for an engine. s.mu is held.
 func (s *Service) begin(e roster.Endpoint, leaseName string, spec Spec) {
 	w := newWorker(s, e, leaseName, spec)
+	w.from = s.leases[leaseName]
 	ctx, cancel := context.WithCancel(s.ctx)
 	w.cancel = cancel
 	s.workers[e.Incarnation] = w
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -40,8 +40,10 @@
 	endpoint roster.Endpoint
 	model    string
 	lease    string
-	wake     chan struct{}
-	cancel   context.CancelFunc
+	// from is when orders may be given.
+	from   time.Time
+	wake   chan struct{}
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -102,6 +104,9 @@
 		if now.Before(w.downUntil) {
 			ok, due = false, w.downUntil
 		}
+		if ok && action.Kind != residency.Report && now.Before(w.from) {
+			ok, due = false, w.from
+		}
 		w.mu.Unlock()
 		if ok {
 			w.act(ctx, action)
