Let one VM read the store for all, and list the leases less often in calm

Cause: every VM followed the operator's rows and the list of endpoints, and listed all leases each second. Change: relay: VMs ask the first steward for news and its age, and turn to the next one when the news are old; a VM that nobody answers reads for itself. At most eight VMs hold leases (stewards); the others hear who holds which. An answer of the feed that waited its time counts as current to its end.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -40,6 +40,7 @@
 	cfg        Config
 	conditions *conditions
 	owners     *owners
+	memory     *memory
 }
 
 // New returns a dispatcher.
@@ -47,6 +48,7 @@
 	return &Dispatcher{
 		cfg:        cfg,
 		conditions: newConditions(),
+		memory:     newMemory(),
 		owners:     newOwners(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.Caller),
 	}
 }
@@ -65,6 +67,7 @@
 				return
 			case now := <-ticker.C:
 				d.conditions.sweep(now)
+				d.memory.sweep(now)
 			}
 		}
 	}()
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -149,6 +149,7 @@
 				n.Permit = permit
 				d.owners.notify(address, n)
 			}
+			d.memory.note(residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}, e.Incarnation, reply.Version, time.Now())
 			if !d.open(e) {
 				notify(orders.Notice{Ended: true})
 				return gateway.Place{}, reply, false
@@ -169,21 +170,22 @@
 	return ok && now.Incarnation == e.Incarnation && !now.Draining
 }
 
-// unowned returns a place without a permit at an engine that held the adapter when it last reported.
+// unowned returns a place without a permit at an engine where requests have found the adapter lately.
 // Nobody evicts adapters there while its owner cannot be reached.
 func (d *Dispatcher) unowned(w gateway.Work, candidates []roster.Endpoint) (gateway.Place, bool) {
-	newest := d.cfg.Newest(residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter})
+	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
+	now := time.Now()
 	for _, e := range rankHomes(homeKey(w), candidates) {
-		if address, known := d.owners.address(e.ID); known && d.owners.trusted(address, time.Now()) {
+		if address, known := d.owners.address(e.ID); known && d.owners.trusted(address, now) {
 			continue
 		}
-		if w.Terms.Adapter == "" {
-			return d.place(e, 0, func(orders.Notice) {}), true
-		}
-		for _, a := range e.Loaded {
-			if a.Model == w.Terms.Model && a.Name == w.Terms.Adapter && a.Version >= newest {
-				return d.place(e, a.Version, func(orders.Notice) {}), true
-			}
+		version, found := d.memory.version(key, e.Incarnation, now)
+		if w.Terms.Adapter == "" || found && version >= d.cfg.Newest(key) {
+			return d.place(e, version, func(n orders.Notice) {
+				if n.Missing {
+					d.memory.forget(key, e.Incarnation)
+				}
+			}), true
 		}
 	}
 	return gateway.Place{}, false
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -30,6 +30,9 @@
 	// retryPause is the time before a failed call is made again; it doubles up to maxRetryPause.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
+	// confirmPart is the part of the usual wait that the call after a change waits: an answer with changes
+	// says only that the copy was current when the call was sent.
+	confirmPart = 4
 )
 
 // Follower follows one table.
@@ -39,13 +42,16 @@
 	// position is where the next call goes on; listed says that there is one.
 	position uint64
 	listed   bool
+	// moved says that the last answer held changes.
+	moved bool
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 
 	confirmed time.Time
 	downSince time.Time
-	upSince   time.Time
+	up        bool
+	returned  time.Time
 }
 
 // New returns a follower.
@@ -53,19 +59,19 @@
 	return &Follower{cfg: cfg, rows: map[string]platform.Row{}}
 }
 
-// Confirmed returns the moment up to which the copy is known to be current: when the last call that
-// was answered was sent. It is zero before the first.
+// Confirmed returns the moment up to which the copy is known to be current. It is zero before the first
+// answer.
 func (f *Follower) Confirmed() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.confirmed
 }
 
-// UpSince returns the start of the unbroken run of answers; zero while the table does not answer.
-func (f *Follower) UpSince() time.Time {
+// Returned returns when the table last began to answer again after an outage; zero if there was none.
+func (f *Follower) Returned() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.upSince
+	return f.returned
 }
 
 // Run follows the table until ctx ends.
@@ -102,19 +108,33 @@
 		f.cfg.Changed(f.rows)
 		return nil
 	}
-	changes, position, err := f.cfg.Feed.Changes(ctx, f.position, f.cfg.Wait)
+	wait := f.cfg.Wait
+	if f.moved {
+		wait /= confirmPart
+	}
+	changes, position, err := f.cfg.Feed.Changes(ctx, f.position, wait)
 	if err != nil {
 		return err
 	}
+	f.moved = len(changes) > 0
 	f.position = max(position, f.position)
 	f.apply(changes)
-	f.answered(sent)
+	f.answered(heard(sent, time.Now(), wait, len(changes)))
 	if len(changes) > 0 {
 		f.cfg.Changed(f.rows)
 	}
 	return nil
 }
 
+// heard returns the moment up to which a call's answer speaks. An answer without changes that has taken as
+// long as the call was to wait was given at the end of that time.
+func heard(sent, now time.Time, wait time.Duration, changes int) time.Time {
+	if changes == 0 && now.Sub(sent) >= wait {
+		return sent.Add(wait)
+	}
+	return sent
+}
+
 func (f *Follower) replace(rows []platform.Row) {
 	clear(f.rows)
 	for _, row := range rows {
@@ -132,18 +152,19 @@
 	}
 }
 
-// answered notes that the table has answered a call sent at that time.
-func (f *Follower) answered(sent time.Time) {
+// answered notes that the table has answered, and that the copy is current up to that moment.
+func (f *Follower) answered(confirmed time.Time) {
 	f.mu.Lock()
-	was := f.upSince
+	was := f.up
 	down := f.downSince
-	f.confirmed = sent
-	if was.IsZero() {
-		f.upSince = sent
+	f.confirmed = confirmed
+	f.up = true
+	if !down.IsZero() {
+		f.returned = time.Now()
 		f.downSince = time.Time{}
 	}
 	f.mu.Unlock()
-	if was.IsZero() {
+	if !was {
 		entry := f.cfg.Log.WithFields(logrus.Fields{"event": "feed_up", "table": f.cfg.Name, "rows": len(f.rows), "position": f.position})
 		if !down.IsZero() {
 			entry = entry.WithField("down", time.Since(down).Round(time.Millisecond))
@@ -159,7 +180,7 @@
 	if first {
 		f.downSince = time.Now()
 	}
-	f.upSince = time.Time{}
+	f.up = false
 	f.mu.Unlock()
 	if first {
 		f.cfg.Log.WithFields(logrus.Fields{"event": "feed_down", "table": f.cfg.Name, "error": err.Error()}).Warn()
--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"bytes"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,26 +11,12 @@
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/clock"
-	"github.com/mallowlink/mallowlink/pkg/follow"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
-	"github.com/mallowlink/mallowlink/pkg/platform"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
-const (
-	// operatorWait is how long one call waits for a change of the operator's rows. It bounds the time
-	// after which a VM knows that it has lost touch.
-	operatorWait = 1500 * time.Millisecond
-	// endpointsPause is the time between two looks at the list of endpoints, in which something changes
-	// with every heartbeat.
-	endpointsPause = time.Second
-	// keyMargin is how long before a withdrawn key must have stopped working a VM without news stops
-	// serving keys, for the time that a request is on its way.
-	keyMargin = 600 * time.Millisecond
-)
-
 // beliefs are what the process knows of the operator's rows and the endpoints.
 type beliefs struct {
 	platform Platform
@@ -44,22 +31,25 @@
 	// The fields below are guarded by mu.
 
 	newest    map[residency.Key]int
-	malformed map[string]uint64
+	malformed map[string][]byte
+	// operatorAt and endpointsAt are the moments up to which the operator's rows and the list of
+	// endpoints are known to be current.
+	operatorAt, endpointsAt time.Time
 }
 
 func newBeliefs(p Platform, log logrus.FieldLogger) *beliefs {
 	return &beliefs{
 		platform: p, log: log, roster: roster.New(), changed: func() {},
-		newest: map[residency.Key]int{}, malformed: map[string]uint64{},
+		newest: map[residency.Key]int{}, malformed: map[string][]byte{},
 	}
 }
 
 // takeOperator takes in the operator's rows. Versions never go back.
-func (b *beliefs) takeOperator(rows map[string]platform.Row) {
-	for key, row := range rows {
-		decoded, err := b.platform.DecodeOperator(key, row.Value)
+func (b *beliefs) takeOperator(rows map[string][]byte) {
+	for key, value := range rows {
+		decoded, err := b.platform.DecodeOperator(key, value)
 		if err != nil {
-			b.logMalformed("operator_row_malformed", key, row, err)
+			b.logMalformed("operator_row_malformed", key, value, err)
 			continue
 		}
 		if decoded.Config != nil {
@@ -107,34 +97,52 @@
 	return b.newest[key]
 }
 
-// logMalformed logs a row that cannot be read, once for each version of it.
-func (b *beliefs) logMalformed(event, key string, row platform.Row, err error) {
+// logMalformed logs a row that cannot be read, once for each value of it.
+func (b *beliefs) logMalformed(event, key string, value []byte, err error) {
 	b.mu.Lock()
-	known := b.malformed[key] == row.Version
-	b.malformed[key] = row.Version
+	known := bytes.Equal(b.malformed[key], value)
+	b.malformed[key] = value
 	b.mu.Unlock()
 	if !known {
-		b.log.WithError(err).WithFields(logrus.Fields{"event": event, "key": key, "row_version": row.Version}).Warn()
+		b.log.WithError(err).WithFields(logrus.Fields{"event": event, "key": key}).Warn()
 	}
 }
 
-// takeEndpoints takes in the list of endpoints.
-func (b *beliefs) takeEndpoints(rows map[string]platform.Row) {
-	list := make([]roster.Endpoint, 0, len(rows))
-	for key, row := range rows {
-		e, err := b.platform.DecodeEndpoint(key, row.Value)
-		if err != nil {
-			b.logMalformed("endpoint_row_malformed", key, row, err)
-			continue
+// takeEndpoints takes in the list of endpoints. One that has been seen to leave does not come back:
+// the list of another VM may be older.
+func (b *beliefs) takeEndpoints(list []roster.Endpoint) {
+	old := b.roster.View()
+	for i, e := range list {
+		before, known := old.Endpoint(e.ID)
+		if known && before.Incarnation == e.Incarnation && before.Draining {
+			list[i].Draining = true
 		}
-		list = append(list, e)
 	}
 	view := roster.NewView(list)
-	b.logEndpoints(b.roster.View(), view)
+	b.logEndpoints(old, view)
 	b.roster.Set(view)
 	b.changed()
 }
 
+// confirm notes the moments up to which what is believed is known to be current.
+func (b *beliefs) confirm(operator, endpoints time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if operator.After(b.operatorAt) {
+		b.operatorAt = operator
+	}
+	if endpoints.After(b.endpointsAt) {
+		b.endpointsAt = endpoints
+	}
+}
+
+// operatorAge returns how old what is believed of the operator's rows may be.
+func (b *beliefs) operatorAge(now time.Time) time.Duration {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return clock.Elapsed(b.operatorAt, now)
+}
+
 // logEndpoints logs the endpoints that have come, gone, or changed their state.
 func (b *beliefs) logEndpoints(old, view *roster.View) {
 	for _, e := range view.All() {
@@ -189,30 +197,6 @@
 	}, true
 }
 
-// followers follow the platform's tables.
-type followers struct {
-	operator, endpoints *follow.Follower
-	bounds              Bounds
-}
-
-func newFollowers(s Settings, p Platform, b *beliefs, log logrus.FieldLogger) *followers {
-	return &followers{
-		bounds: s.Bounds,
-		operator: follow.New(follow.Config{
-			Name: "operator", Feed: p.Operator, Wait: operatorWait, Changed: b.takeOperator, Log: log,
-		}),
-		endpoints: follow.New(follow.Config{
-			Name: "endpoints", Feed: p.Endpoints, Pause: endpointsPause, Changed: b.takeEndpoints, Log: log,
-		}),
-	}
-}
-
-// keysValid reports whether no key can have been withdrawn for so long that it must no longer work
-// without this VM knowing.
-func (f *followers) keysValid() bool {
-	return clock.Elapsed(f.operator.Confirmed(), time.Now()) < f.bounds.KeyWithdrawal-keyMargin
-}
-
 // version returns the version of the configuration in force; 0 before the first.
 func (b *beliefs) version() uint64 {
 	rules := b.rules.Load()
--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -57,7 +57,7 @@
 		fx.StopTimeout(s.Bounds.Grace),
 		fx.Provide(
 			newIdentity, newLogger, metrics.NewRegistry, connect, newBackground, newListeners,
-			newBeliefs, newFollowers, newUpstream,
+			newBeliefs, newBoard, newRelay, newUpstream,
 			newPeers, newFleet, newAllowances, newOrders, newDispatcher, newGateway, newServers, newProcess,
 		),
 		fx.Invoke(connectLeases, registerServices),
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -19,6 +19,7 @@
 	"github.com/mallowlink/mallowlink/pkg/membership"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/relay"
 	"github.com/mallowlink/mallowlink/pkg/retry"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
@@ -136,10 +137,11 @@
 type fleet struct {
 	members   *membership.Registry
 	leases    *lease.Manager
+	stewards  *stewards
 	listeners *listenerSet
 }
 
-func newFleet(s Settings, id identity, p Platform, b *beliefs, pp peers, log logrus.FieldLogger) fleet {
+func newFleet(s Settings, id identity, p Platform, b *beliefs, board *relay.Board, pp peers, log logrus.FieldLogger) fleet {
 	members := membership.New(membership.Config{
 		ID:            id.vm,
 		Incarnation:   id.incarnation,
@@ -147,16 +149,32 @@
 		PeerAddress:   s.Listen.Peer,
 	}, nil, pp.pool, log)
 	set := &listenerSet{}
+	table := follow.NewMirror(p.Fleet)
+	stew := &stewards{
+		self: relay.VM{
+			ID: id.vm, Incarnation: id.incarnation, Address: s.Listen.Peer,
+			FailureDomain: s.FailureDomain, Cores: s.Limits.Cores,
+		},
+		table: table, members: members, board: board, log: log, vms: map[string]seenVM{},
+	}
 	leases := lease.NewManager(lease.Config{
 		ID:          id.vm,
 		Incarnation: id.incarnation,
 		Address:     s.Listen.Peer,
+		Capacity:    s.Limits.Cores,
+		ListPeriod:  listPeriod,
 		Duration:    s.Bounds.OrderTurns,
+		Listed:      stew.publish,
 		Names:       func() []string { return leaseNames(b) },
-	}, follow.NewMirror(p.Fleet), members, pp.pool, set, log)
-	return fleet{members: members, leases: leases, listeners: set}
+	}, table, members, pp.pool, set, log)
+	stew.leases = leases
+	return fleet{members: members, leases: leases, stewards: stew, listeners: set}
 }
 
+// listPeriod is the time between two listings of the leases while nothing happens. It is less than a
+// lease lasts, so that a VM can act on its peers' word as soon as the table is down.
+const listPeriod = 1900 * time.Millisecond
+
 // leaseNames returns the leases that some VM should hold.
 func leaseNames(b *beliefs) []string {
 	names := orders.LeaseNames()
@@ -195,12 +213,12 @@
 func newAllowances(s Settings, bg background, id identity, f fleet, b *beliefs, pp peers, log logrus.FieldLogger) allowances {
 	policy := allowance.Policy{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack}
 	home := allowance.NewHome(bg, allowance.HomeConfig{
-		Policy: policy, Limits: b.limit, Lessor: f.leases, Fleet: f.members,
+		Policy: policy, Limits: b.limit, Lessor: f.stewards, Fleet: f.stewards,
 		FirstStart: s.FirstStart, Started: id.started, Caller: pp.pool, Log: log,
 	})
 	holder := allowance.NewHolder(bg, allowance.HolderConfig{
 		Self: id.vm, Incarnation: id.incarnation, Started: id.started, FirstStart: s.FirstStart, Policy: policy, Limits: b.limit,
-		Home: home, Lessor: f.leases, Fleet: f.members, Caller: pp.pool,
+		Home: home, Lessor: f.stewards, Fleet: f.stewards, Caller: pp.pool,
 	})
 	return allowances{home: home, holder: holder}
 }
@@ -208,7 +226,7 @@
 func newOrders(s Settings, bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
 	return orders.NewService(bg, orders.Config{
 		Self:    id.vm,
-		Leases:  f.leases,
+		Leases:  f.stewards,
 		Engines: p.Engines(out.client),
 		Roster:  b.roster,
 		Spec:    b.spec,
@@ -227,7 +245,7 @@
 		FailureDomain: s.FailureDomain,
 		Roster:        b.roster,
 		Orders:        o,
-		Leases:        f.leases,
+		Leases:        f.stewards,
 		Caller:        pp.pool,
 		Newest:        b.newestOf,
 		Metrics:       registry,
@@ -235,10 +253,10 @@
 	})
 }
 
-func newGateway(s Settings, p Platform, b *beliefs, f *followers, a allowances, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
+func newGateway(s Settings, p Platform, b *beliefs, a allowances, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Rules:      b.rules.Load,
-		KeysValid:  f.keysValid,
+		KeysValid:  func() bool { return keysValid(b, s.Bounds) },
 		Dialect:    p.Dialect,
 		Quota:      a.holder,
 		Dispatcher: d,
@@ -249,6 +267,32 @@
 	})
 }
 
+// keyShare is the part of the time within which a withdrawn key must stop working for which a VM without
+// news goes on serving keys. The rest is for changes that a feed passes on late, and for requests on
+// their way.
+const keyShare = 0.7
+
+// keysValid reports whether no key can have been withdrawn for so long that it must no longer work without
+// this VM knowing.
+func keysValid(b *beliefs, bounds Bounds) bool {
+	return b.operatorAge(time.Now()).Seconds() < keyShare*bounds.KeyWithdrawal.Seconds()
+}
+
+func newBoard(id identity) *relay.Board { return relay.NewBoard(id.incarnation) }
+
+func newRelay(bg background, p Platform, b *beliefs, board *relay.Board, f fleet, pp peers, log logrus.FieldLogger) *relay.Node {
+	return relay.New(bg, relay.Config{
+		Self:     f.stewards.self,
+		Board:    board,
+		Reader:   newStoreReader(p, b, board, f.stewards, log),
+		Caller:   pp.pool,
+		Stewards: f.stewards.list,
+		Present:  f.stewards.present,
+		Apply:    newNews(b, f.stewards, log).apply,
+		Log:      log,
+	})
+}
+
 const (
 	// retryCaution is the part of the fleet-wide share of repeats that a VM uses: requests spread
 	// unevenly over the VMs and over the window.
@@ -300,7 +344,7 @@
 }
 
 // registerServices offers this VM's services to the other VMs.
-func registerServices(pp peers, f fleet, a allowances, o *orders.Service) error {
+func registerServices(pp peers, f fleet, a allowances, o *orders.Service, n *relay.Node) error {
 	services := []struct {
 		name     string
 		receiver any
@@ -309,6 +353,7 @@
 		{lease.ServiceName, f.leases.Service()},
 		{allowance.ServiceName, allowance.NewService(a.home, a.holder)},
 		{orders.ServiceName, o},
+		{relay.ServiceName, n.Service()},
 	}
 	for _, service := range services {
 		if err := pp.server.Register(service.name, service.receiver); err != nil {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -17,6 +17,7 @@
 	"github.com/mallowlink/mallowlink/pkg/admin"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/relay"
 )
 
 const (
@@ -69,7 +70,7 @@
 	Base       background
 	Listeners  *listeners
 	Beliefs    *beliefs
-	Followers  *followers
+	Relay      *relay.Node
 	Out        outbound
 	Peers      peers
 	Fleet      fleet
@@ -92,7 +93,7 @@
 // ready reports whether new connections of callers should come here.
 func (p *process) ready() bool {
 	b := p.parts.Beliefs
-	return !p.draining.Load() && b.rules.Load() != nil && b.roster.View().Len() > 0 && p.parts.Followers.keysValid()
+	return !p.draining.Load() && b.rules.Load() != nil && b.roster.View().Len() > 0 && keysValid(b, p.parts.Settings.Bounds)
 }
 
 // start runs every part. The peer port takes calls first: a connection that it refuses would prove
@@ -101,10 +102,8 @@
 	ready := p.ready
 	p.parts.Servers.ready.Store(&ready)
 	p.serve("peer", func() error { return p.parts.Peers.server.Serve(p.parts.Listeners.peer) })
-	p.loop(p.parts.Fleet.members.Run)
-	p.loop(p.parts.Followers.operator.Run)
-	p.loop(p.parts.Followers.endpoints.Run)
-	p.loop(p.parts.Fleet.leases.Run)
+	p.loop(p.parts.Relay.Run)
+	p.loop(p.parts.Fleet.stewards.run)
 	p.loop(p.parts.Dispatcher.Run)
 	p.loop(p.sweep)
 	p.serveHTTP("readiness", p.parts.Servers.readiness, p.parts.Listeners.readiness)
--- /dev/null
+++ b/pkg/gatewayd/reading.go
@@ -0,0 +1,181 @@
+package gatewayd
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/follow"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/platform"
+	"github.com/mallowlink/mallowlink/pkg/relay"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+const (
+	// operatorWait is how long one call waits for a change of the operator's rows. It bounds the time
+	// after which a VM knows that it has lost touch.
+	operatorWait = 800 * time.Millisecond
+	// endpointsPause is the time between two looks at the list of endpoints, in which something changes
+	// with every heartbeat.
+	endpointsPause = 700 * time.Millisecond
+	// directoryPause is the time between two looks at the leases by a VM that holds none.
+	directoryPause = time.Second
+	// lapseGrace is how long after an outage of the store an endpoint that has gone from the list may
+	// come back to it: its entry may have lapsed meanwhile.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// storeReader reads the platform's store for this VM, and for those that ask it. It implements
+// relay.Reader.
+type storeReader struct {
+	platform            Platform
+	beliefs             *beliefs
+	board               *relay.Board
+	stewards            *stewards
+	log                 logrus.FieldLogger
+	operator, endpoints *follow.Follower
+
+	mu sync.Mutex
+	// listed are the rows of the list of endpoints, guarded by mu.
+	listed map[string]platform.Row
+	// kept are the endpoints that may come back to the list, guarded by mu.
+	kept map[string]roster.Endpoint
+}
+
+func newStoreReader(p Platform, b *beliefs, board *relay.Board, s *stewards, log logrus.FieldLogger) *storeReader {
+	r := &storeReader{platform: p, beliefs: b, board: board, stewards: s, log: log, kept: map[string]roster.Endpoint{}}
+	r.operator = follow.New(follow.Config{
+		Name: "operator", Feed: p.Operator, Wait: operatorWait, Changed: r.takeOperator, Log: log,
+	})
+	r.endpoints = follow.New(follow.Config{
+		Name: "endpoints", Feed: p.Endpoints, Pause: endpointsPause, Changed: r.takeEndpoints, Log: log,
+	})
+	return r
+}
+
+// Run implements relay.Reader.
+func (r *storeReader) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { r.operator.Run(ctx) })
+	loops.Go(func() { r.endpoints.Run(ctx) })
+	loops.Go(func() { r.followDirectory(ctx) })
+	loops.Go(func() { r.confirm(ctx) })
+	loops.Wait()
+}
+
+// Ages implements relay.Reader.
+func (r *storeReader) Ages() (operator, endpoints time.Duration) {
+	now := time.Now()
+	return clock.Elapsed(r.operator.Confirmed(), now), clock.Elapsed(r.endpoints.Confirmed(), now)
+}
+
+// confirmStep is the time between two looks at what the store has confirmed.
+const confirmStep = 50 * time.Millisecond
+
+// confirm passes on what the store has confirmed until ctx ends.
+func (r *storeReader) confirm(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.beliefs.confirm(r.operator.Confirmed(), r.endpoints.Confirmed())
+		pause(ctx, confirmStep)
+	}
+}
+
+func (r *storeReader) takeOperator(rows map[string]platform.Row) {
+	values := make(map[string][]byte, len(rows))
+	for key, row := range rows {
+		values[key] = row.Value
+	}
+	r.beliefs.takeOperator(values)
+	r.board.Replace(relay.Operator, values)
+}
+
+func (r *storeReader) takeEndpoints(rows map[string]platform.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = make(map[string]platform.Row, len(rows))
+	for key, row := range rows {
+		r.listed[key] = row
+	}
+	r.publishEndpoints(time.Now())
+}
+
+// publishEndpoints takes in the list of endpoints as it is, and those that may come back to it. r.mu is
+// held.
+func (r *storeReader) publishEndpoints(now time.Time) {
+	list := make([]roster.Endpoint, 0, len(r.listed))
+	for key, row := range r.listed {
+		e, err := r.platform.DecodeEndpoint(key, row.Value)
+		if err != nil {
+			r.beliefs.logMalformed("endpoint_row_malformed", key, row.Value, err)
+			continue
+		}
+		list = append(list, e)
+	}
+	list = append(list, r.lapsed(list, now)...)
+	values := make(map[string][]byte, len(list))
+	for i := range list {
+		list[i].Loaded = nil
+		data, err := json.Marshal(list[i])
+		if err != nil {
+			r.log.WithError(err).WithField("event", "endpoint_not_published").Error()
+			continue
+		}
+		values[list[i].ID] = data
+	}
+	r.board.Replace(relay.Endpoints, values)
+	r.beliefs.takeEndpoints(list)
+}
+
+// lapsed returns the endpoints that are off the list and may come back to it, because the store has
+// returned from an outage lately. r.mu is held.
+func (r *storeReader) lapsed(list []roster.Endpoint, now time.Time) []roster.Endpoint {
+	until := r.endpoints.Returned().Add(lapseGrace)
+	if now.After(until) {
+		clear(r.kept)
+		return nil
+	}
+	on := map[string]bool{}
+	for _, e := range list {
+		on[e.ID] = true
+	}
+	for _, e := range r.beliefs.roster.View().All() {
+		if !on[e.ID] && !e.Draining && r.kept[e.ID].ID == "" {
+			r.kept[e.ID] = e
+			r.log.WithFields(logrus.Fields{"event": "endpoint_lapsed", "endpoint": e.ID, "kept_for": until.Sub(now).Round(time.Millisecond)}).Info()
+		}
+	}
+	var kept []roster.Endpoint
+	for id, e := range r.kept {
+		if !on[id] {
+			kept = append(kept, e)
+		}
+	}
+	if len(kept) > 0 {
+		time.AfterFunc(until.Sub(now)+time.Millisecond, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.publishEndpoints(time.Now())
+		})
+	}
+	return kept
+}
+
+// followDirectory keeps what is known of the leases up to date while this VM holds none itself.
+func (r *storeReader) followDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !r.stewards.active() {
+			rows, err := r.stewards.table.List(ctx, "")
+			if err == nil {
+				r.stewards.take(lease.ReadDirectory(rows))
+			} else if ctx.Err() == nil {
+				r.log.WithError(err).WithField("event", "leases_not_read").Warn()
+			}
+		}
+		pause(ctx, directoryPause)
+	}
+}
--- /dev/null
+++ b/pkg/gatewayd/stewards.go
@@ -0,0 +1,236 @@
+package gatewayd
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/follow"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/relay"
+)
+
+const (
+	// stewardCount is the number of VMs that hold leases and read the store, if there are as many. More
+	// of them spread orders further, and each costs calls to the store.
+	stewardCount = 8
+	// volunteerStep is the time for which a VM with a whole core waits before it becomes a steward, and
+	// volunteerSpread the random time on top; weaker VMs wait longer, so that able ones come first.
+	volunteerStep   = 150 * time.Millisecond
+	volunteerSpread = 300 * time.Millisecond
+	// forgetVMs is how long a VM that is no longer spoken of is still counted.
+	forgetVMs = 10 * time.Second
+)
+
+// stewards knows the VMs that hold leases, and makes this VM one of them when there are too few. It
+// implements lease.Lessor for all VMs.
+type stewards struct {
+	self    relay.VM
+	table   *follow.Mirror
+	members *membership.Registry
+	leases  *lease.Manager
+	board   *relay.Board
+	log     logrus.FieldLogger
+
+	mu sync.RWMutex
+	// The fields below are guarded by mu.
+
+	running   bool
+	directory lease.Directory
+	known     bool
+	vms       map[string]seenVM
+}
+
+// seenVM is a VM that was spoken of at that time.
+type seenVM struct {
+	relay.VM
+	at time.Time
+}
+
+// active reports whether this VM holds leases, or wants to.
+func (s *stewards) active() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.running
+}
+
+// take takes in what was read or heard of the leases.
+func (s *stewards) take(d lease.Directory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.directory, s.known = d, true
+}
+
+// current returns what is known of the leases.
+func (s *stewards) current() lease.Directory {
+	if s.active() {
+		return s.leases.Directory()
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.directory
+}
+
+// list returns the stewards in the order in which VMs turn to them.
+func (s *stewards) list() []relay.VM {
+	var list []relay.VM
+	for _, vm := range s.current().VMs {
+		list = append(list, relay.VM{ID: vm.ID, Incarnation: vm.Incarnation, Address: vm.Address})
+	}
+	return list
+}
+
+// Held implements lease.Lessor.
+func (s *stewards) Held(name string) (lease.Grant, bool) {
+	if !s.active() {
+		return lease.Grant{}, false
+	}
+	return s.leases.Held(name)
+}
+
+// HolderOf implements lease.Lessor.
+func (s *stewards) HolderOf(name string) (lease.Holder, bool) {
+	if s.active() {
+		return s.leases.HolderOf(name)
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	holder, ok := s.directory.Holders[name]
+	return holder, ok
+}
+
+// publish puts what this VM knows of the leases on the board.
+func (s *stewards) publish() {
+	d := s.leases.Directory()
+	holders := make(map[string][]byte, len(d.Holders))
+	for name, holder := range d.Holders {
+		holders[name] = s.encode(holder)
+	}
+	vms := make(map[string][]byte, len(d.VMs))
+	for _, vm := range d.VMs {
+		vms[vm.ID] = s.encode(vm)
+	}
+	s.board.Replace(relay.Leases, holders)
+	s.board.Replace(relay.Stewards, vms)
+}
+
+func (s *stewards) encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		s.log.WithError(err).WithField("event", "lease_not_published").Error()
+	}
+	return data
+}
+
+// run makes this VM a steward when there are too few, until ctx ends.
+func (s *stewards) run(ctx context.Context) {
+	for ctx.Err() == nil && !s.due() {
+		pause(ctx, s.hesitation())
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	// Others may have come first.
+	rows, err := s.table.List(ctx, "")
+	if err != nil {
+		s.log.WithError(err).WithField("event", "leases_not_read").Warn()
+	}
+	s.take(lease.ReadDirectory(rows))
+	if err != nil || !s.due() {
+		pause(ctx, s.hesitation())
+		s.run(ctx)
+		return
+	}
+	s.mu.Lock()
+	s.running = true
+	s.mu.Unlock()
+	s.log.WithField("event", "steward").Info()
+	var loops sync.WaitGroup
+	loops.Go(func() { s.members.Run(ctx) })
+	loops.Go(func() { s.leases.Run(ctx) })
+	loops.Wait()
+}
+
+// hesitation returns how long this VM waits before it looks whether it is needed.
+func (s *stewards) hesitation() time.Duration {
+	return time.Duration(float64(volunteerStep+rand.N(volunteerSpread)) / max(s.self.Cores, 0.05))
+}
+
+// due reports whether this VM is needed as a steward, or has been one.
+func (s *stewards) due() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if !s.known {
+		return false
+	}
+	if slices.ContainsFunc(s.directory.VMs, func(vm lease.SessionVM) bool { return vm.ID == s.self.ID }) {
+		return true
+	}
+	able := 0
+	for _, vm := range s.directory.VMs {
+		if !vm.Draining {
+			able++
+		}
+	}
+	return able < stewardCount
+}
+
+// present takes in that a VM has asked this one, or has fallen silent.
+func (s *stewards) present(vm relay.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms[vm.ID] = seenVM{VM: vm, at: time.Now()}
+}
+
+// heard takes in news of the VMs.
+func (s *stewards) heard(vms map[string][]byte, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, data := range vms {
+		var vm relay.VM
+		if err := json.Unmarshal(data, &vm); err != nil {
+			s.log.WithError(err).WithFields(logrus.Fields{"event": "vm_malformed", "vm": id}).Warn()
+			continue
+		}
+		s.vms[id] = seenVM{VM: vm, at: now}
+	}
+	for id, vm := range s.vms {
+		if _, still := vms[id]; !still && now.Sub(vm.at) > forgetVMs {
+			delete(s.vms, id)
+		}
+	}
+}
+
+// Members implements allowance.Fleet: all VMs that may spend tokens.
+func (s *stewards) Members() []membership.Member {
+	byID := map[string]membership.Member{
+		s.self.ID: {ID: s.self.ID, Incarnation: s.self.Incarnation, PeerAddress: s.self.Address},
+	}
+	s.mu.RLock()
+	for id, vm := range s.vms {
+		m := membership.Member{ID: id, Incarnation: vm.Incarnation, PeerAddress: vm.Address}
+		if vm.Silent {
+			m.Silent = forgetVMs
+		}
+		byID[id] = m
+	}
+	s.mu.RUnlock()
+	if s.active() {
+		for _, m := range s.members.Members() {
+			byID[m.ID] = m
+		}
+	}
+	members := make([]membership.Member, 0, len(byID))
+	for _, m := range byID {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -31,11 +31,17 @@
 	ID          string
 	Incarnation string
 	Address     string
+	// Capacity says how much work this VM can bear, compared with others.
+	Capacity float64
+	// Listed is called after the rows have been listed or written. It may be nil.
+	Listed func()
 	// Names returns the leases that should be held by some VM.
 	Names func() []string
 	// State returns what to pass on to the next holder of a lease that is handed over. It is called
 	// after LeaseLost for that lease. It may be nil.
 	State func(name string) []byte
+	// ListPeriod is the time between two listings while nothing has happened.
+	ListPeriod time.Duration
 	// Period is the time between two renewals, Duration how long one is good for.
 	Period   time.Duration
 	Duration time.Duration
@@ -56,12 +62,16 @@
 func (c *Config) setDefaults() {
 	setDefault(&c.Period, DefaultPeriod)
 	setDefault(&c.Duration, DefaultDuration)
+	setDefault(&c.ListPeriod, c.Period)
 	setDefault(&c.Margin, DefaultMargin)
 	setDefault(&c.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&c.RankStep, DefaultRankStep)
 	setDefault(&c.GuardInterval, DefaultGuardInterval)
 	setDefault(&c.RebalanceInterval, DefaultRebalanceInterval)
 	setDefault(&c.SessionRetention, DefaultSessionRetention)
+	if c.Listed == nil {
+		c.Listed = func() {}
+	}
 	if c.State == nil {
 		c.State = func(string) []byte { return nil }
 	}
@@ -126,6 +136,8 @@
 	nextRebalance time.Time
 	draining      bool
 	closed        bool
+	// woken says that something has happened since the last listing.
+	woken bool
 }
 
 // ownSession is this VM's session as it knows it.
@@ -202,6 +214,9 @@
 		return false
 	case <-timer.C:
 	case <-m.wake:
+		m.mu.Lock()
+		m.woken = true
+		m.mu.Unlock()
 	}
 	return true
 }
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -111,6 +111,7 @@
 		Address:     m.cfg.Address,
 		Counter:     m.own.counter + 1,
 		Duration:    m.cfg.Duration,
+		Capacity:    m.cfg.Capacity,
 		Seen:        m.seen,
 		Draining:    m.draining,
 		Able:        m.own.created != 0 && !m.draining && m.window(now) && m.known(now),
--- a/pkg/lease/rows.go
+++ b/pkg/lease/rows.go
@@ -35,6 +35,8 @@
 	Duration    time.Duration `json:"duration_ns"`
 	// Seen is the highest table version among the session rows that the VM had listed.
 	Seen uint64 `json:"seen"`
+	// Capacity says how much work the VM can bear, compared with others.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Able says that the VM could claim a lease that is handed over to it.
 	Able     bool `json:"able,omitempty"`
 	Draining bool `json:"draining,omitempty"`
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -21,6 +21,10 @@
 	if m.isClosed() {
 		return time.Time{}
 	}
+	if m.calm(time.Now()) {
+		m.commit(ctx, m.plan(false, time.Now()))
+		return time.Time{}
+	}
 	listed := m.refresh(ctx)
 	p := m.plan(listed, time.Now())
 	if p == nil {
@@ -28,12 +32,43 @@
 		return time.Time{}
 	}
 	written := m.commit(ctx, p)
+	m.cfg.Listed()
 	if listed && written {
 		m.markUp()
 	}
 	return p.due
 }
 
+// calm reports whether the rows need not be listed now: they were listed lately, nothing has happened
+// since, and every lease has a holder that answers and that the table answers.
+func (m *Manager) calm(now time.Time) bool {
+	live := map[string]bool{}
+	for _, member := range m.fleet.Live() {
+		live[member.ID] = !member.StoreDown
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	woken := m.woken
+	m.woken = false
+	if woken || m.draining || m.upSince.IsZero() || m.own.created == 0 || now.Sub(m.rowsBase) >= m.cfg.ListPeriod {
+		return false
+	}
+	if len(m.released) > 0 || len(m.releasing) > 0 || len(m.own.unresolved) > 0 {
+		return false
+	}
+	for _, name := range m.cfg.Names() {
+		if holder := m.leases[name].Holder; holder == "" || holder != m.cfg.ID && !live[holder] {
+			return false
+		}
+	}
+	for vm, s := range m.sessions {
+		if vm != m.cfg.ID && !s.over() && !live[vm] {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Manager) isClosed() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- /dev/null
+++ b/pkg/relay/node.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/peer"
+)
+
+const (
+	// pullWait is how long a call waits for news.
+	pullWait = 700 * time.Millisecond
+	// pullTimeout bounds a call on top of that; VMs are about a millisecond apart.
+	pullTimeout = 300 * time.Millisecond
+	// maxOperatorAge and maxEndpointsAge are the ages from which news count as old: somewhat more than
+	// the time between two answers of a sound store to a VM that reads it.
+	maxOperatorAge  = 1300 * time.Millisecond
+	maxEndpointsAge = 2 * time.Second
+	// mistrust is how long a VM that has not answered, or has only old news, is not asked.
+	mistrust = 1500 * time.Millisecond
+	// readFor is how long a VM goes on reading the store after it was last asked.
+	readFor = 3 * time.Second
+	// firstRead bounds how long a call waits for a VM that has just begun to read.
+	firstRead = 250 * time.Millisecond
+	// directPause is the time after which a VM that reads the store for itself looks for another one
+	// to ask.
+	directPause = time.Second
+	// silentAfter is the time after which a VM that does not ask counts as silent.
+	silentAfter = 2500 * time.Millisecond
+	// pollStep is the time between two looks at whether a reading has begun.
+	pollStep = 5 * time.Millisecond
+)
+
+// Reader reads the store and publishes what it reads on the board.
+type Reader interface {
+	// Run reads until ctx ends.
+	Run(ctx context.Context)
+	// Ages returns how old the last answers of the store are.
+	Ages() (operator, endpoints time.Duration)
+}
+
+// Config holds what a node works with.
+type Config struct {
+	Self  VM
+	Board *Board
+	// Reader is this VM's own.
+	Reader Reader
+	Caller peer.Caller
+	// Stewards returns the VMs to ask, the best first. This VM may be among them.
+	Stewards func() []VM
+	// Present is called when another VM asks for the first time, has changed, or has fallen silent.
+	Present func(VM)
+	// Apply takes in news of other VMs. full says that they are all there are. operator and endpoints
+	// are the moments up to which the rows are known to be current.
+	Apply func(entries []Entry, full bool, operator, endpoints time.Time)
+	Log   logrus.FieldLogger
+}
+
+// Node is a VM's part in the relay.
+type Node struct {
+	cfg Config
+	ctx context.Context
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	// board and after are what was pulled last.
+	board string
+	after uint64
+	// source is the VM that was asked last, empty while this VM reads for itself.
+	source   string
+	mistrust map[string]time.Time
+	// wanted is until when this VM reads the store; stop ends the reading.
+	wanted time.Time
+	stop   context.CancelFunc
+	// asked maps the VMs that ask this one to when they last did.
+	asked map[string]time.Time
+	vms   map[string]VM
+}
+
+// New returns a node. ctx ends its work.
+func New(ctx context.Context, cfg Config) *Node {
+	return &Node{
+		cfg: cfg, ctx: ctx,
+		mistrust: map[string]time.Time{}, asked: map[string]time.Time{}, vms: map[string]VM{},
+	}
+}
+
+// Run keeps this VM's news up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.watch(ctx)
+	for ctx.Err() == nil {
+		source, ok := n.choose(time.Now())
+		if !ok {
+			n.setSource("")
+			n.read(directPause + readFor)
+			sleep(ctx, directPause)
+			continue
+		}
+		n.setSource(source.ID)
+		if !n.pull(ctx, source) && ctx.Err() == nil {
+			n.doubt(source.ID, time.Now())
+		}
+	}
+}
+
+// choose returns the VM to ask; false if this VM is to read for itself.
+func (n *Node) choose(now time.Time) (VM, bool) {
+	list := n.cfg.Stewards()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, vm := range list {
+		if vm.ID == n.cfg.Self.ID {
+			return VM{}, false
+		}
+		if !now.Before(n.mistrust[vm.ID]) {
+			return vm, true
+		}
+	}
+	return VM{}, false
+}
+
+func (n *Node) setSource(id string) {
+	n.mu.Lock()
+	old := n.source
+	n.source = id
+	n.mu.Unlock()
+	if old != id {
+		n.cfg.Log.WithFields(logrus.Fields{"event": "news_source", "from": old, "to": id}).Info()
+	}
+}
+
+func (n *Node) doubt(id string, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mistrust[id] = now.Add(mistrust)
+}
+
+// pull asks a VM once. It reports false if the VM does not answer, or has only old news.
+func (n *Node) pull(ctx context.Context, source VM) bool {
+	n.mu.Lock()
+	args := PullArgs{From: n.cfg.Self, Board: n.board, After: n.after}
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pullWait+pullTimeout)
+	defer cancel()
+	sent := time.Now()
+	var reply PullReply
+	if err := n.cfg.Caller.Call(ctx, source.Address, pullMethod, &args, &reply); err != nil {
+		n.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "news_lost", "source": source.ID}).Debug()
+		return false
+	}
+	if clock.Elapsed(sent, time.Now()) > pullWait+2*pullTimeout {
+		// This VM has stood still: the ages no longer say anything.
+		return false
+	}
+	n.mu.Lock()
+	n.board, n.after = reply.Board, reply.Revision
+	n.mu.Unlock()
+	n.cfg.Apply(reply.Entries, reply.Full, sent.Add(-reply.OperatorAge), sent.Add(-reply.EndpointsAge))
+	return reply.OperatorAge <= maxOperatorAge && reply.EndpointsAge <= maxEndpointsAge
+}
+
+// read makes this VM read the store for that time at least.
+func (n *Node) read(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if until := time.Now().Add(d); until.After(n.wanted) {
+		n.wanted = until
+	}
+	if n.stop == nil && n.ctx.Err() == nil {
+		defer n.publish(n.cfg.Self)
+		ctx, cancel := context.WithCancel(n.ctx)
+		n.stop = cancel
+		go n.cfg.Reader.Run(ctx)
+		n.cfg.Log.WithField("event", "reading_store").Info()
+	}
+}
+
+// watch ends the reading when nobody wants it, and notes the VMs that have fallen silent.
+func (n *Node) watch(ctx context.Context) {
+	ticker := time.NewTicker(directPause / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.endReading(now)
+			n.markSilent(now)
+		}
+	}
+}
+
+func (n *Node) endReading(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stop != nil && now.After(n.wanted) {
+		n.stop()
+		n.stop = nil
+		n.cfg.Log.WithField("event", "reading_ended").Info()
+	}
+}
+
+// Reading reports whether this VM reads the store.
+func (n *Node) Reading() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stop != nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
