--- /dev/null
+++ b/pkg/allowance/account_test.go
@@ -0,0 +1,226 @@
+package allowance
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testPolicy = Policy{Window: 8 * time.Second, Overage: 0.1, Slack: 10_000}
+
+var testLimit = Limit{Rate: 10_000, Burst: 20_000}
+
+// bound is what the deployment allows within any window.
+func bound() float64 { return testPolicy.within(testLimit) + testPolicy.tolerated(testLimit) }
+
+// spending is one request of the account that has run.
+type spending struct {
+	at     time.Time
+	tokens int64
+}
+
+// mostWithinWindow returns the most that was spent within any window.
+func mostWithinWindow(list []spending) int64 {
+	most := int64(0)
+	for i, first := range list {
+		sum := int64(0)
+		for _, s := range list[i:] {
+			if s.at.Sub(first.at) < testPolicy.Window {
+				sum += s.tokens
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// vm is a VM's side without its network.
+type vm struct {
+	id      string
+	stock   *stock
+	started time.Time
+}
+
+func newVM(id string, now time.Time) *vm {
+	return &vm{id: id, stock: &stock{spent: newRing(testPolicy.Window)}, started: now}
+}
+
+// lost is the share of absent VMs from which on a test has set it.
+const lost = 0.5
+
+// settle makes the VM's request to the home and takes its answer.
+func (v *vm) settle(home *account, now time.Time) {
+	v.stock.expire(now)
+	req := v.stock.request("x", now)
+	req.VM, req.Incarnation = v.id, v.id+v.started.String()
+	req.Covers = min(now.Sub(v.started), testPolicy.Window+binWidth)
+	home.learn(req, now)
+	if home.absent < lost {
+		// As Home does: VMs that have not told count as absent.
+		home.absent = float64(home.total-len(home.told)) / float64(home.total)
+	}
+	v.stock.accept(req, home.settle(req, now), now, now)
+}
+
+// try spends tokens, and asks the home once if there are too few.
+func (v *vm) try(home *account, tokens int64, now time.Time) bool {
+	v.stock.expire(now)
+	v.stock.want(tokens, now)
+	if v.stock.tokens < tokens {
+		w := &waiter{tokens: tokens, done: make(chan verdict, 1)}
+		v.stock.waiters = append(v.stock.waiters, w)
+		v.settle(home, now)
+		return (<-w.done).err == nil
+	}
+	v.stock.spend(tokens, now)
+	return true
+}
+
+// One account at many times its rate, spread unevenly over the VMs: what runs stays within the bound in
+// every window, and gets close to the limit.
+func TestOneAccountAtManyTimesItsRate(t *testing.T) {
+	rnd := rand.New(rand.NewSource(1))
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 5)
+	home.told = map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": true}
+	vms := []*vm{newVM("a", now), newVM("b", now), newVM("c", now), newVM("d", now), newVM("e", now)}
+	var ran []spending
+	for range 6000 {
+		now = now.Add(5 * time.Millisecond)
+		v := vms[min(rnd.Intn(len(vms)), rnd.Intn(len(vms)))]
+		tokens := int64(100 + rnd.Intn(900))
+		if v.try(home, tokens, now) {
+			ran = append(ran, spending{now, tokens})
+		}
+	}
+	most := float64(mostWithinWindow(ran))
+	require.LessOrEqual(t, most, bound())
+	require.Greater(t, most, 0.9*testPolicy.within(testLimit))
+}
+
+// An account within its limit is never refused, however its requests spread over the VMs.
+func TestAnAccountWithinItsLimitIsNotRefused(t *testing.T) {
+	rnd := rand.New(rand.NewSource(2))
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 3)
+	home.told = map[string]bool{"a": true, "b": true, "c": true}
+	vms := []*vm{newVM("a", now), newVM("b", now), newVM("c", now)}
+	for range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		v := vms[min(rnd.Intn(len(vms)), rnd.Intn(len(vms)))]
+		require.True(t, v.try(home, int64(rnd.Intn(150)), now))
+	}
+}
+
+// A new home that the VMs have told what they have spent lets no more through than the old one would
+// have, and one that they have not told assumes the worst.
+func TestANewHomeKnowsWhatWasSpent(t *testing.T) {
+	rnd := rand.New(rand.NewSource(3))
+	now := time.Unix(1_700_000_000, 0)
+	vms := []*vm{newVM("a", now), newVM("b", now)}
+	home := newAccount(testPolicy, testLimit, 2)
+	home.told = map[string]bool{"a": true, "b": true}
+	var ran []spending
+	for i := range 6000 {
+		now = now.Add(5 * time.Millisecond)
+		if i%700 == 699 {
+			home = newAccount(testPolicy, testLimit, 2)
+			for _, v := range vms {
+				v.settle(home, now)
+			}
+		}
+		tokens := int64(100 + rnd.Intn(900))
+		if vms[rnd.Intn(2)].try(home, tokens, now) {
+			ran = append(ran, spending{now, tokens})
+		}
+	}
+	require.LessOrEqual(t, float64(mostWithinWindow(ran)), bound())
+}
+
+// All VMs are killed and start again without memory: what ran before is assumed, so that the bound holds
+// across the restart.
+func TestARestartOfAllVMsLetsNoMoreThrough(t *testing.T) {
+	rnd := rand.New(rand.NewSource(4))
+	now := time.Unix(1_700_000_000, 0)
+	var ran []spending
+	vms := []*vm{newVM("a", now), newVM("b", now), newVM("c", now)}
+	home := newAccount(testPolicy, testLimit, 3)
+	home.told = map[string]bool{"a": true, "b": true, "c": true}
+	for i := range 6000 {
+		now = now.Add(5 * time.Millisecond)
+		if i%900 == 899 {
+			now = now.Add(500 * time.Millisecond)
+			home = newAccount(testPolicy, testLimit, 3)
+			for j, v := range vms {
+				vms[j] = newVM(v.id, now)
+				vms[j].settle(home, now)
+			}
+		}
+		tokens := int64(100 + rnd.Intn(900))
+		if vms[rnd.Intn(3)].try(home, tokens, now) {
+			ran = append(ran, spending{now, tokens})
+		}
+	}
+	require.LessOrEqual(t, float64(mostWithinWindow(ran)), bound())
+}
+
+// VMs that the home does not hear from go on at their even share, for which the home keeps room.
+func TestVMsWithoutTheHome(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 4)
+	home.told = map[string]bool{"a": true, "b": true, "c": true, "d": true}
+	home.absent = 0.5
+	reached := newVM("a", now)
+	cut := []*stock{{spent: newRing(testPolicy.Window)}, {spent: newRing(testPolicy.Window)}}
+	var ran []spending
+	for range 4000 {
+		now = now.Add(5 * time.Millisecond)
+		if reached.try(home, 500, now) {
+			ran = append(ran, spending{now, 500})
+		}
+		for _, s := range cut {
+			s.fillStranded(testPolicy.pace(testLimit, 4), now)
+			if s.stranded >= 500 {
+				s.stranded -= 500
+				ran = append(ran, spending{now, 500})
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(mostWithinWindow(ran)), bound())
+}
+
+func TestExcessIsMarked(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 1)
+	home.told = map[string]bool{"a": true}
+	within := int64(testPolicy.within(testLimit))
+	reply := home.settle(Request{VM: "a", Incarnation: "1", Spent: []int64{within - 10}, Need: 100, Want: 100}, now)
+	require.EqualValues(t, 100, reply.Tokens)
+	require.False(t, reply.Excess)
+	reply = home.settle(Request{VM: "a", Incarnation: "1", Spent: []int64{within + 90}, Need: 100, Want: 100}, now)
+	require.EqualValues(t, 100, reply.Tokens)
+	require.True(t, reply.Excess)
+	reply = home.settle(Request{VM: "a", Incarnation: "1", Spent: []int64{2 * within}, Need: 100, Want: 100}, now)
+	require.Zero(t, reply.Tokens)
+	require.Positive(t, reply.RetryAfter)
+}
+
+func TestRingForgets(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	r := newRing(testPolicy.Window)
+	r.add(100, now)
+	require.EqualValues(t, 100, r.sum(now.Add(testPolicy.Window-time.Millisecond)))
+	require.Zero(t, r.sum(now.Add(testPolicy.Window+2*binWidth)))
+	r.add(50, now.Add(20*time.Second))
+	r.take(30, now.Add(20*time.Second))
+	require.EqualValues(t, 20, r.sum(now.Add(20*time.Second)))
+}
+
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	require.True(t, Request{Held: -1}.malformed())
+	require.True(t, Request{Spent: []int64{1, -1}}.malformed())
+	require.True(t, Request{Want: maxTokens + 1}.malformed())
+	require.False(t, Request{Spent: []int64{1, 2}, Need: 3}.malformed())
+}
--- /dev/null
+++ b/pkg/follow/follow_test.go
@@ -0,0 +1,184 @@
+package follow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/platform"
+)
+
+// fakeFeed is a feed in virtual time.
+type fakeFeed struct {
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	changes   []platform.Change
+	version   uint64
+	compacted uint64
+	down      bool
+	changed   chan struct{}
+	calls     int
+}
+
+func newFakeFeed() *fakeFeed {
+	return &fakeFeed{rows: map[string]platform.Row{}, changed: make(chan struct{})}
+}
+
+func (f *fakeFeed) put(key, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	row := platform.Row{Key: key, Version: f.version, Value: []byte(value)}
+	f.rows[key] = row
+	f.changes = append(f.changes, platform.Change{Row: row})
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeFeed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeFeed) Snapshot(context.Context) ([]platform.Row, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for _, row := range f.rows {
+		rows = append(rows, row)
+	}
+	return rows, f.version, nil
+}
+
+func (f *fakeFeed) Changes(ctx context.Context, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	f.set(func() { f.calls++ })
+	for {
+		f.mu.Lock()
+		down, compacted, version, changed := f.down, f.compacted, f.version, f.changed
+		var list []platform.Change
+		for _, c := range f.changes {
+			if c.Version > after {
+				list = append(list, c)
+			}
+		}
+		f.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, platform.ErrUnavailable
+		case after < compacted:
+			return nil, 0, platform.ErrCompacted
+		case len(list) > 0:
+			return list, version, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// follow runs a follower in a bubble.
+func follow(t *testing.T, wait, pause time.Duration, do func(feed *fakeFeed, f *Follower, seen func() map[string]string)) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		var mu sync.Mutex
+		var rows map[string]string
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		f := New(Config{Name: "x", Feed: feed, Wait: wait, Pause: pause, Log: log, Changed: func(list map[string]platform.Row) {
+			mu.Lock()
+			defer mu.Unlock()
+			rows = map[string]string{}
+			for key, row := range list {
+				rows[key] = string(row.Value)
+			}
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		do(feed, f, func() map[string]string {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return rows
+		})
+		cancel()
+		<-done
+	})
+}
+
+func TestFollowerTakesChangesAtOnce(t *testing.T) {
+	follow(t, time.Second, 0, func(feed *fakeFeed, _ *Follower, seen func() map[string]string) {
+		feed.put("a", "1")
+		require.Equal(t, map[string]string{"a": "1"}, seen())
+		time.Sleep(10 * time.Second)
+		feed.put("b", "2")
+		require.Equal(t, map[string]string{"a": "1", "b": "2"}, seen())
+	})
+}
+
+// What the copy is confirmed for is never older than two waits while the table answers, and stands still
+// while it does not.
+func TestFollowerKnowsHowOldItsCopyIs(t *testing.T) {
+	follow(t, time.Second, 0, func(feed *fakeFeed, f *Follower, _ func() map[string]string) {
+		time.Sleep(5500 * time.Millisecond)
+		require.LessOrEqual(t, time.Since(f.Confirmed()), time.Second)
+		feed.put("a", "1")
+		time.Sleep(400 * time.Millisecond)
+		require.LessOrEqual(t, time.Since(f.Confirmed()), time.Second)
+		feed.set(func() { feed.down = true })
+		time.Sleep(2 * time.Second)
+		before := f.Confirmed()
+		time.Sleep(20 * time.Second)
+		require.Equal(t, before, f.Confirmed())
+		require.True(t, f.Returned().IsZero())
+		feed.set(func() { feed.down = false })
+		time.Sleep(3 * time.Second)
+		require.LessOrEqual(t, time.Since(f.Confirmed()), time.Second)
+		require.WithinDuration(t, time.Now().Add(-2*time.Second), f.Returned(), 2*time.Second)
+	})
+}
+
+func TestFollowerStartsAnewWhenTheHistoryIsGone(t *testing.T) {
+	follow(t, time.Second, 0, func(feed *fakeFeed, _ *Follower, seen func() map[string]string) {
+		feed.put("a", "1")
+		seen()
+		feed.set(func() {
+			delete(feed.rows, "a")
+			feed.rows["b"] = platform.Row{Key: "b", Version: 9, Value: []byte("2")}
+			feed.version, feed.compacted, feed.changes = 9, 9, nil
+		})
+		time.Sleep(3 * time.Second)
+		require.Equal(t, map[string]string{"b": "2"}, seen())
+	})
+}
+
+// A table in which something changes all the time is read at the pace of the pause.
+func TestFollowerPauses(t *testing.T) {
+	follow(t, 0, time.Second, func(feed *fakeFeed, _ *Follower, seen func() map[string]string) {
+		for range 100 {
+			feed.put("a", "x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		seen()
+		feed.set(func() { require.LessOrEqual(t, feed.calls, 13) })
+	})
+}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -153,6 +153,7 @@
 		return c.refuse(e)
 	}
 	c.group = rules.Bundle.Groups[route.Pick(c.route, rand.Float64())]
+	c.g.cfg.Retries(c.group.Name).Request(c.arrived)
 	c.setDeadline()
 	if e := c.readBody(rules.Bundle.Callers.BodyBytes); e != nil {
 		return c.refuse(e)
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -223,7 +223,7 @@
 	return allowances{home: home, holder: holder}
 }
 
-func newOrders(s Settings, bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
+func newOrders(s Settings, bg background, id identity, p Platform, f fleet, b *beliefs, out outbound, pp peers, registry metrics.Registry, log logrus.FieldLogger) *orders.Service {
 	return orders.NewService(bg, orders.Config{
 		Self:    id.vm,
 		Leases:  f.stewards,
@@ -231,6 +231,8 @@
 		Roster:  b.roster,
 		Spec:    b.spec,
 		Newest:  b.newestOf,
+		Address: f.stewards.address,
+		Caller:  pp.pool,
 		Turns:   s.Bounds.OrderTurns,
 		Started: id.started,
 		Metrics: registry,
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -87,6 +87,16 @@
 	return list
 }
 
+// address returns where a VM takes calls.
+func (s *stewards) address(vm string) (string, bool) {
+	for _, m := range s.Members() {
+		if m.ID == vm && !m.Gone {
+			return m.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
 // Held implements lease.Lessor.
 func (s *stewards) Held(name string) (lease.Grant, bool) {
 	if !s.active() {
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mallowlink/mallowlink/pkg/dialect"
+	"github.com/mallowlink/mallowlink/pkg/residency"
 )
 
 // ServiceName is the name under which the daemon registers Service with net/rpc.
@@ -15,6 +16,7 @@
 const (
 	AcquireMethod = ServiceName + ".Acquire"
 	ReportMethod  = ServiceName + ".Report"
+	tellMethod    = ServiceName + ".Tell"
 )
 
 // Status is the answer to a request for a place.
@@ -100,5 +102,18 @@
 	Notices     []Notice
 }
 
+// TellArgs asks a VM that gave an engine its orders before what it knows of the engine.
+type TellArgs struct {
+	Endpoint string
+	Started  int64
+}
+
+// TellReply is the answer.
+type TellReply struct {
+	// Known is false if the VM knows nothing of the engine.
+	Known  bool
+	Habits residency.Habits
+}
+
 // ReportReply is the answer.
 type ReportReply struct{}
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
 	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/peer"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
@@ -62,6 +63,9 @@
 	Spec func(group string) (Spec, bool)
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
 	Newest func(residency.Key) int
+	// Address returns where a VM takes calls, false if it is not known.
+	Address func(vm string) (string, bool)
+	Caller  peer.Caller
 	// Turns is the least time between two orders of this VM to an engine that another VM has ordered in
 	// between. Started is when the process started: it does not know of orders before that.
 	Turns   time.Duration
@@ -88,6 +92,10 @@
 	leases map[string]time.Time
 	// lost maps the leases that this VM has held to when it lost them.
 	lost map[string]time.Time
+	// before maps the leases that this VM holds to the VM that held them before.
+	before map[string]string
+	// retired are the workers of engines that another VM orders now.
+	retired map[roster.Incarnation]*worker
 }
 
 // NewService returns a service without leases. ctx ends its work.
@@ -96,6 +104,7 @@
 		cfg: cfg, ctx: ctx,
 		meters:  meters{orders: metrics.GetOrRegisterCounter("orders.given", cfg.Metrics)},
 		workers: map[roster.Incarnation]*worker{}, leases: map[string]time.Time{}, lost: map[string]time.Time{},
+		before: map[string]string{}, retired: map[roster.Incarnation]*worker{},
 	}
 }
 
@@ -103,6 +112,10 @@
 func (s *Service) LeaseGained(grant lease.Grant) {
 	s.mu.Lock()
 	s.leases[grant.Name] = s.turn(grant)
+	delete(s.before, grant.Name)
+	if len(grant.Recent) > 0 && grant.Recent[0] != s.cfg.Self {
+		s.before[grant.Name] = grant.Recent[0]
+	}
 	s.mu.Unlock()
 	s.Refresh()
 }
@@ -145,6 +158,7 @@
 		if !ok || e.Incarnation != id || !s.holds(w.lease) {
 			w.cancel()
 			delete(s.workers, id)
+			s.retire(id, w)
 		}
 	}
 	for _, e := range view.All() {
@@ -170,6 +184,7 @@
 func (s *Service) begin(e roster.Endpoint, leaseName string, spec Spec) {
 	w := newWorker(s, e, leaseName, spec)
 	w.from = s.leases[leaseName]
+	w.before = s.before[leaseName]
 	ctx, cancel := context.WithCancel(s.ctx)
 	w.cancel = cancel
 	s.workers[e.Incarnation] = w
@@ -224,6 +239,40 @@
 	}
 }
 
+// retireFor is how long what is known of an engine is kept for the VM that orders it next.
+const retireFor = 10 * time.Second
+
+// retire keeps the worker of an engine that this VM no longer orders. s.mu is held.
+func (s *Service) retire(id roster.Incarnation, w *worker) {
+	s.retired[id] = w
+	time.AfterFunc(retireFor, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.retired[id] == w {
+			delete(s.retired, id)
+		}
+	})
+}
+
+// Tell tells the VM that orders an engine now what this one knows of it.
+func (s *Service) Tell(args *TellArgs, reply *TellReply) error {
+	s.mu.Lock()
+	id := roster.Incarnation{ID: args.Endpoint, Started: args.Started}
+	w := s.workers[id]
+	if w == nil {
+		w = s.retired[id]
+	}
+	s.mu.Unlock()
+	if w == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reply.Known = w.books.Synced()
+	reply.Habits = w.books.Habits(time.Now())
+	return nil
+}
+
 // Engines returns the number of engines that this VM gives orders to.
 func (s *Service) Engines() int {
 	s.mu.Lock()
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -40,6 +40,8 @@
 	endpoint roster.Endpoint
 	model    string
 	lease    string
+	// before is the VM that gave the engine its orders before, empty if there was none.
+	before string
 	// from is when orders may be given.
 	from   time.Time
 	wake   chan struct{}
@@ -53,6 +55,8 @@
 	waiters map[residency.Key][]*waiter
 	trip    time.Duration
 	losses  int
+	// habits are what the VM before has told, until the books are synced.
+	habits *residency.Habits
 	// backoff is how long the engine is left alone after the next failure to reach it; downUntil is when
 	// it is tried next, zero while it can be reached.
 	backoff   time.Duration
@@ -96,6 +100,7 @@
 
 // run gives orders until ctx ends.
 func (w *worker) run(ctx context.Context) {
+	w.askBefore(ctx)
 	for ctx.Err() == nil {
 		now := time.Now()
 		w.mu.Lock()
@@ -130,6 +135,35 @@
 	}
 }
 
+// tellTimeout bounds the call to the VM that gave the orders before. It is lost with that VM; the engine
+// waits for orders meanwhile.
+const tellTimeout = 60 * time.Millisecond
+
+// askBefore asks the VM that gave the engine its orders before how its adapters were used, so that those in
+// use are not evicted.
+func (w *worker) askBefore(ctx context.Context) {
+	if w.before == "" {
+		return
+	}
+	address, ok := w.s.cfg.Address(w.before)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var reply TellReply
+	err := w.s.cfg.Caller.Call(ctx, address, tellMethod, &TellArgs{Endpoint: w.endpoint.ID, Started: w.endpoint.Started}, &reply)
+	w.s.cfg.Log.WithFields(logrus.Fields{
+		"event": "engine_told", "endpoint": w.endpoint.ID, "by": w.before, "known": reply.Known,
+		"adapters": len(reply.Habits.Uses), "error": err,
+	}).Info()
+	if err == nil && reply.Known {
+		w.mu.Lock()
+		w.habits = &reply.Habits
+		w.mu.Unlock()
+	}
+}
+
 // act makes one call to the engine. The lease is checked last before an order is given.
 func (w *worker) act(ctx context.Context, a residency.Action) {
 	target := upstream.Target{ID: w.endpoint.ID, Started: w.endpoint.Started, Address: w.endpoint.Address}
@@ -205,6 +239,10 @@
 		return
 	}
 	ok := w.books.Sync(report, now)
+	if ok && w.habits != nil {
+		w.books.Adopt(*w.habits, now)
+		w.habits = nil
+	}
 	w.s.cfg.Log.WithFields(logrus.Fields{
 		"event": "books_synced", "endpoint": w.endpoint.ID, "accepted": report.Accepted,
 		"held": len(report.Loaded), "pending": len(report.Pending), "used": ok,
