--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,524 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/bundle"
+	"github.com/mallowlink/mallowlink/pkg/dialect"
+	"github.com/mallowlink/mallowlink/pkg/result"
+	"github.com/mallowlink/mallowlink/pkg/retry"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+	"github.com/mallowlink/mallowlink/pkg/upstream"
+)
+
+// testDialect is a dialect with short names.
+type testDialect struct{}
+
+func (testDialect) Inspect(h http.Header) (dialect.Terms, error) {
+	t := dialect.Terms{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	if text := h.Get("Patience"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return t, err
+		}
+		t.Patience = time.Duration(ms) * time.Millisecond
+	}
+	if text := h.Get("Tokens"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return t, err
+		}
+		t.PromptTokens, t.HasTokens = n, true
+	}
+	return t, nil
+}
+
+func (testDialect) Forward(h http.Header, d dialect.Delivery) http.Header {
+	out := h.Clone()
+	out.Del("Key")
+	out.Del("Content-Length")
+	out.Set("Account", d.Account)
+	out.Set("Left", strconv.FormatInt(d.Left.Milliseconds(), 10))
+	if d.LastEvent != "" {
+		out.Set("Last", d.LastEvent)
+	}
+	return out
+}
+
+func (testDialect) Judge(status int, h http.Header) dialect.Verdict {
+	return dialect.Verdict{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != ""}
+}
+
+func (testDialect) Return(h http.Header) http.Header { return h.Clone() }
+
+// fixedPlaces returns endpoints in turn, except those excluded.
+type fixedPlaces struct {
+	mu        sync.Mutex
+	endpoints []roster.Endpoint
+	outcomes  []Outcome
+	refuse    *result.Error
+}
+
+func (p *fixedPlaces) Place(_ context.Context, w Work) (Place, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refuse != nil {
+		return Place{}, p.refuse
+	}
+	for _, e := range p.endpoints {
+		excluded := false
+		for _, id := range w.Exclude {
+			excluded = excluded || id == e.ID
+		}
+		if !excluded {
+			return Place{Endpoint: e, Done: func(o Outcome) {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.outcomes = append(p.outcomes, o)
+			}}, nil
+		}
+	}
+	return Place{}, result.New(result.NoEndpoint, "no endpoint is left")
+}
+
+// tokens is an Admitter with a fixed stock.
+type tokens struct {
+	mu    sync.Mutex
+	left  int64
+	given int64
+}
+
+func (a *tokens) Admit(_ context.Context, _ string, n int64) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n > a.left {
+		e := result.New(result.OverRate, "over the limit")
+		e.RetryAfter = 250 * time.Millisecond
+		return false, e
+	}
+	a.left -= n
+	return false, nil
+}
+
+func (a *tokens) Return(_ string, n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.left += n
+	a.given += n
+}
+
+// bench is a gateway before endpoints that a test scripts.
+type bench struct {
+	t       *testing.T
+	places  *fixedPlaces
+	quota   *tokens
+	retries *retry.Window
+	valid   bool
+	rules   *Rules
+	server  *httptest.Server
+	seen    chan *http.Request
+}
+
+// handler plays an endpoint.
+type handler func(w http.ResponseWriter, r *http.Request)
+
+func newBench(t *testing.T, endpoints ...handler) *bench {
+	b := &bench{
+		t: t, places: &fixedPlaces{}, quota: &tokens{left: 1000}, valid: true,
+		retries: retry.NewWindow(10*time.Second, 0, 3), seen: make(chan *http.Request, 100),
+	}
+	for i, h := range endpoints {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			b.seen <- r.Clone(context.Background())
+			w.Header().Set("Id", r.Header.Get("Id"))
+			w.Header().Set("Signature", "s")
+			h(w, r)
+		}))
+		t.Cleanup(s.Close)
+		b.places.endpoints = append(b.places.endpoints, roster.Endpoint{
+			Incarnation: roster.Incarnation{ID: fmt.Sprintf("e%d", i)}, Address: strings.TrimPrefix(s.URL, "http://"),
+		})
+	}
+	b.rules = NewRules((&bundle.Bundle{
+		Version: 1,
+		Groups:  map[string]bundle.Group{"g": {Name: "g"}},
+		Routes: map[string]bundle.Route{
+			"safe":   {Name: "safe", Host: "h", Prefix: "/safe/", Group: "g", Idempotent: true, MaxAttempts: 2, Timeout: 5 * time.Second},
+			"unsafe": {Name: "unsafe", Host: "h", Prefix: "/unsafe/", Group: "g", MaxAttempts: 2, Timeout: 5 * time.Second},
+			"stream": {Name: "stream", Host: "h", Prefix: "/stream/", Group: "g", Stream: true, Timeout: 5 * time.Second},
+			"resume": {Name: "resume", Host: "h", Prefix: "/resume/", Group: "g", Stream: true, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second},
+			"open":   {Name: "open", Host: "h", Prefix: "/open/", Group: "g", Open: true, Timeout: 300 * time.Millisecond},
+		},
+		Accounts: map[string]bundle.Account{"acme": {Name: "acme", Rate: 1, CallCost: 7}},
+		Keys:     map[string]bundle.Key{"k": {Name: "k", Account: "acme", SHA256: bundle.HashKey("key")}},
+		Callers:  bundle.CallerLimits{BodyBytes: 1000},
+	}).Indexed())
+	pools := upstream.NewPools()
+	t.Cleanup(pools.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Config{
+		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.valid }, Dialect: testDialect{},
+		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, nil),
+		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
+	})
+	b.server = httptest.NewServer(g)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// got is what a caller gets.
+type got struct {
+	status int
+	header http.Header
+	body   string
+	// cut says that the answer broke off.
+	cut bool
+}
+
+func (b *bench) do(path string, header map[string]string, body string) got {
+	req, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "key")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := b.server.Client().Do(req)
+	require.NoError(b.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, resp.Header, string(data), err != nil}
+}
+
+func say(text string) handler {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+func fail(status int) handler {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "failed")
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// drop closes the connection without an answer.
+func drop(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+func (b *bench) arrivals() int { return len(b.seen) }
+
+func TestPassesRequestsAndAnswersOn(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		w.Header().Set("Extra", "x")
+		_, _ = w.Write(append([]byte("got "), data...))
+	})
+	a := b.do("/safe/a%2Fb?q=1", map[string]string{"Patience": "2000", "Tokens": "5"}, "body")
+	require.Equal(t, got{status: 200, header: a.header, body: "got body"}, a)
+	require.Equal(t, "x", a.header.Get("Extra"))
+	r := <-b.seen
+	require.Equal(t, "/safe/a%2Fb?q=1", r.RequestURI)
+	require.Equal(t, "h", r.Host)
+	require.Equal(t, "acme", r.Header.Get("Account"))
+	require.Empty(t, r.Header.Get("Key"))
+	left, err := strconv.Atoi(r.Header.Get("Left"))
+	require.NoError(t, err)
+	require.True(t, left > 1000 && left <= 2000)
+	require.EqualValues(t, 995, b.quota.left)
+}
+
+func TestRefusals(t *testing.T) {
+	b := newBench(t, say("x"))
+	for name, c := range map[string]struct {
+		path   string
+		header map[string]string
+		body   string
+		status int
+		code   result.Code
+	}{
+		"no route":      {"/none/", nil, "", 404, result.UnknownRoute},
+		"no key":        {"/safe/", map[string]string{"Key": ""}, "", 401, result.MissingKey},
+		"unknown key":   {"/safe/", map[string]string{"Key": "other"}, "", 401, result.WrongKey},
+		"over the rate": {"/safe/", map[string]string{"Tokens": "5000"}, "", 429, result.OverRate},
+		"large body":    {"/safe/", nil, strings.Repeat("x", 1001), 413, result.BodyTooLarge},
+		"bad header":    {"/safe/", map[string]string{"Patience": "soon"}, "", 400, result.BadHeader},
+		"no time":       {"/safe/", map[string]string{"Patience": "5"}, "", 503, result.DeadlineTooNear},
+	} {
+		a := b.do(c.path, c.header, c.body)
+		require.Equal(t, c.status, a.status, name)
+		require.Equal(t, strconv.Itoa(int(c.code)), a.header.Get(headerCode), name)
+		require.Equal(t, string(result.NotRun), a.header.Get(headerOutcome), name)
+		if c.status == 429 {
+			require.Equal(t, "0.250", a.header.Get("Retry-After"))
+		}
+	}
+	require.Zero(t, b.arrivals())
+	b.valid = false
+	require.Equal(t, 503, b.do("/safe/", nil, "").status, "keys cannot be checked")
+	require.Equal(t, 200, b.do("/open/", map[string]string{"Key": ""}, "").status, "open routes need no key")
+	b.rules = nil
+	require.Equal(t, 503, b.do("/open/", nil, "").status, "no configuration yet")
+}
+
+// A request that may not run twice is sent once, whatever becomes of it.
+func TestUnsafeRequestsAreSentOnce(t *testing.T) {
+	for name, h := range map[string]handler{"dropped": drop, "failed": fail(500), "failed 503": fail(503)} {
+		b := newBench(t, h, say("second"))
+		a := b.do("/unsafe/", nil, "")
+		require.Equal(t, 1, b.arrivals(), name)
+		require.NotContains(t, []int{200, 429, 408, 421}, a.status, name)
+		if name == "dropped" {
+			require.Equal(t, 502, a.status)
+			require.Equal(t, string(result.MayHaveRun), a.header.Get(headerOutcome))
+		}
+		require.Zero(t, b.quota.given, "its tokens stay spent")
+	}
+}
+
+// One that an endpoint has not run goes to another.
+func TestRequestsThatHaveNotRunGoElsewhere(t *testing.T) {
+	b := newBench(t, notRun, say("second"))
+	a := b.do("/unsafe/", nil, "")
+	require.Equal(t, "second", a.body)
+	require.Equal(t, 2, b.arrivals())
+	b = newBench(t, notRun, notRun)
+	a = b.do("/unsafe/", nil, "")
+	require.Equal(t, 503, a.status)
+	require.Equal(t, string(result.NotRun), a.header.Get(headerOutcome))
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.EqualValues(t, 1000, b.quota.left, "its tokens are given back")
+}
+
+// An endpoint that cannot be connected to costs no repeat.
+func TestUnreachableEndpointsArePassedOver(t *testing.T) {
+	b := newBench(t, say("x"), say("second"))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b.places.endpoints[0].Address = l.Addr().String()
+	require.NoError(t, l.Close())
+	b.retries = retry.NewWindow(time.Second, 0, 0)
+	require.Equal(t, "second", b.do("/unsafe/", nil, "").body)
+	require.True(t, b.places.outcomes[0].Unreachable)
+}
+
+// A failure of an endpoint is repeated elsewhere if that is allowed, and passed on if it is not.
+func TestSafeRequestsAreRepeated(t *testing.T) {
+	for name, h := range map[string]handler{"failed": fail(500), "dropped": drop} {
+		b := newBench(t, h, say("second"))
+		require.Equal(t, "second", b.do("/safe/", nil, "").body, name)
+	}
+	b := newBench(t, fail(500), fail(500), say("third"))
+	a := b.do("/safe/", nil, "")
+	require.Equal(t, 500, a.status)
+	require.Equal(t, "failed", a.body)
+	require.Equal(t, 2, b.arrivals(), "no more endpoints than the route allows")
+	b = newBench(t, fail(500), drop)
+	a = b.do("/safe/", nil, "")
+	require.Equal(t, 500, a.status, "the endpoint's own failure is better than none")
+	b = newBench(t, fail(500), say("second"))
+	b.retries = retry.NewWindow(time.Second, 0, 0)
+	require.Equal(t, "failed", b.do("/safe/", nil, "").body, "no repeats are left")
+}
+
+// An answer that breaks off is repeated as long as nothing of it was passed on.
+func TestBrokenAnswersAreReplaced(t *testing.T) {
+	broken := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "some")
+	}
+	b := newBench(t, broken, say("second"))
+	require.Equal(t, "second", b.do("/safe/", nil, "").body)
+	b = newBench(t, broken, say("second"))
+	a := b.do("/unsafe/", nil, "")
+	require.Equal(t, 502, a.status)
+	require.Equal(t, 1, b.arrivals())
+}
+
+// An answer without the endpoint's signature is not one of its own.
+func TestUnsignedAnswersAreNotPassedOn(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("Signature")
+		_, _ = io.WriteString(w, "forged")
+	})
+	require.Equal(t, 502, b.do("/unsafe/", nil, "").status)
+}
+
+func events(from, to int) string {
+	var s strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&s, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return s.String()
+}
+
+// flushThenDrop sends the events, then breaks off within the next one.
+func flushThenDrop(text string) handler {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// A stream that may not be resumed breaks off at the caller too; it does not end as if it were whole.
+func TestABrokenStreamBreaksOff(t *testing.T) {
+	b := newBench(t, flushThenDrop(events(1, 2)), say(events(1, 5)))
+	a := b.do("/stream/", nil, "")
+	require.True(t, a.cut)
+	require.Equal(t, events(1, 2), a.body)
+	require.Equal(t, 1, b.arrivals())
+}
+
+// A stream that may be resumed goes on at another endpoint after its last whole event, with the head of
+// the first.
+func TestABrokenStreamIsResumed(t *testing.T) {
+	first := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signature", "first")
+		flushThenDrop(events(1, 2) + "id: 3\nda")(w, r)
+	}
+	second := func(w http.ResponseWriter, r *http.Request) {
+		last, err := strconv.Atoi(r.Header.Get("Last"))
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = io.WriteString(w, events(last+1, 5))
+	}
+	b := newBench(t, first, second)
+	a := b.do("/resume/", nil, "")
+	require.False(t, a.cut)
+	require.Equal(t, events(1, 5), a.body)
+	require.Equal(t, "first", a.header.Get("Signature"))
+	b = newBench(t, first, first)
+	a = b.do("/resume/", nil, "")
+	require.True(t, a.cut)
+	require.True(t, strings.HasPrefix(a.body, events(1, 2)))
+}
+
+// Events are passed on as they arrive.
+func TestEventsArePassedOnAtOnce(t *testing.T) {
+	more := make(chan struct{})
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, events(1, 1))
+		w.(http.Flusher).Flush()
+		<-more
+		_, _ = io.WriteString(w, events(2, 2))
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.server.URL+"/stream/", nil)
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "key")
+	resp, err := b.server.Client().Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	line, err := bufio.NewReader(resp.Body).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\n", line)
+	close(more)
+}
+
+// When the caller leaves, the endpoint of a request that may be dropped sees its connection end.
+func TestALeavingCallerEndsTheWork(t *testing.T) {
+	ended := make(chan struct{})
+	arrived := make(chan struct{})
+	b := newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/safe/", nil)
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "key")
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err = b.server.Client().Do(req)
+	require.Error(t, err)
+	<-ended
+}
+
+// The time of the route ends a request with a final answer.
+func TestTheRoutesTimeEndsARequest(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	a := b.do("/open/", nil, "")
+	require.Equal(t, 504, a.status)
+	require.Equal(t, string(result.MayHaveRun), a.header.Get(headerOutcome))
+}
+
+// Statuses that promise that a request has not run are not given to one that may have.
+func TestStatusesKeepTheirPromise(t *testing.T) {
+	for _, info := range result.Table() {
+		e := result.New(info.Code, "x")
+		e.Outcome = result.MayHaveRun
+		require.NotContains(t, []int{408, 421, 429, 503}, statusOf(e), info.Name)
+	}
+}
+
+func TestChunkedBodiesAreForwarded(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(data)
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.server.URL+"/safe/", io.MultiReader(strings.NewReader("one "), strings.NewReader("two")))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	req.Header.Set("Key", "key")
+	resp, err := b.server.Client().Do(req)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "one two", string(data))
+}
+
+func TestCutterPassesWholeEventsOnly(t *testing.T) {
+	text := events(1, 9)
+	for size := 1; size < 40; size += 3 {
+		var c eventCutter
+		var out strings.Builder
+		for rest := text; len(rest) > 0; {
+			n := min(size, len(rest))
+			whole := string(c.cut([]byte(rest[:n])))
+			require.True(t, whole == "" || strings.HasSuffix(whole, "\n\n"))
+			out.WriteString(whole)
+			rest = rest[n:]
+		}
+		require.Equal(t, text, out.String())
+		require.Equal(t, "9", c.last)
+		require.Empty(t, c.rest())
+	}
+}
