--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -163,6 +163,7 @@
 		Address:     s.Listen.Peer,
 		Capacity:    s.Limits.Cores,
 		ListPeriod:  listPeriod,
+		Period:      renewPeriod,
 		Duration:    s.Bounds.OrderTurns,
 		Listed:      stew.publish,
 		Names:       func() []string { return leaseNames(b) },
@@ -175,6 +176,10 @@
 // lease lasts, so that a VM can act on its peers' word as soon as the table is down.
 const listPeriod = 1900 * time.Millisecond
 
+// renewPeriod is the time between two renewals of a VM's leases. Two of them fit into the time that a
+// lease lasts.
+const renewPeriod = 1200 * time.Millisecond
+
 // leaseNames returns the leases that some VM should hold.
 func leaseNames(b *beliefs) []string {
 	names := orders.LeaseNames()
--- a/pkg/relay/node.go
+++ b/pkg/relay/node.go
@@ -20,8 +20,10 @@
 	// the time between two answers of a sound store to a VM that reads it.
 	maxOperatorAge  = 1300 * time.Millisecond
 	maxEndpointsAge = 2 * time.Second
-	// mistrust is how long a VM that has not answered, or has only old news, is not asked.
-	mistrust = 1500 * time.Millisecond
+	// mistrust is how long a VM that has not answered, or has only old news, is not asked. It doubles
+	// with each further time, up to maxMistrust.
+	mistrust    = 1500 * time.Millisecond
+	maxMistrust = 12 * time.Second
 	// readFor is how long a VM goes on reading the store after it was last asked.
 	readFor = 3 * time.Second
 	// firstRead bounds how long a call waits for a VM that has just begun to read.
@@ -73,7 +75,7 @@
 	after uint64
 	// source is the VM that was asked last, empty while this VM reads for itself.
 	source   string
-	mistrust map[string]time.Time
+	mistrust map[string]doubt
 	// wanted is until when this VM reads the store; stop ends the reading.
 	wanted time.Time
 	stop   context.CancelFunc
@@ -82,11 +84,17 @@
 	vms   map[string]VM
 }
 
+// doubt is how long a VM is not asked.
+type doubt struct {
+	until time.Time
+	last  time.Duration
+}
+
 // New returns a node. ctx ends its work.
 func New(ctx context.Context, cfg Config) *Node {
 	return &Node{
 		cfg: cfg, ctx: ctx,
-		mistrust: map[string]time.Time{}, asked: map[string]time.Time{}, vms: map[string]VM{},
+		mistrust: map[string]doubt{}, asked: map[string]time.Time{}, vms: map[string]VM{},
 	}
 }
 
@@ -117,7 +125,7 @@
 		if vm.ID == n.cfg.Self.ID {
 			return VM{}, false
 		}
-		if !now.Before(n.mistrust[vm.ID]) {
+		if !now.Before(n.mistrust[vm.ID].until) {
 			return vm, true
 		}
 	}
@@ -137,7 +145,8 @@
 func (n *Node) doubt(id string, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.mistrust[id] = now.Add(mistrust)
+	d := min(max(2*n.mistrust[id].last, mistrust), maxMistrust)
+	n.mistrust[id] = doubt{until: now.Add(d), last: d}
 }
 
 // pull asks a VM once. It reports false if the VM does not answer, or has only old news.
@@ -161,7 +170,26 @@
 	n.board, n.after = reply.Board, reply.Revision
 	n.mu.Unlock()
 	n.cfg.Apply(reply.Entries, reply.Full, sent.Add(-reply.OperatorAge), sent.Add(-reply.EndpointsAge))
-	return reply.OperatorAge <= maxOperatorAge && reply.EndpointsAge <= maxEndpointsAge
+	if reply.OperatorAge > maxOperatorAge || reply.EndpointsAge > maxEndpointsAge {
+		return false
+	}
+	n.served(source.ID, time.Now())
+	return true
+}
+
+// served notes that a VM has answered with fresh news: this one need not read for itself.
+func (n *Node) served(id string, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.mistrust, id)
+	for _, at := range n.asked {
+		if now.Sub(at) < readFor {
+			return
+		}
+	}
+	if n.wanted.After(now) {
+		n.wanted = now
+	}
 }
 
 // read makes this VM read the store for that time at least.
@@ -180,9 +208,12 @@
 	}
 }
 
+// watchStep is the time between two looks at whether the reading is still wanted.
+const watchStep = 250 * time.Millisecond
+
 // watch ends the reading when nobody wants it, and notes the VMs that have fallen silent.
 func (n *Node) watch(ctx context.Context) {
-	ticker := time.NewTicker(directPause / 2)
+	ticker := time.NewTicker(watchStep)
 	defer ticker.Stop()
 	for {
 		select {
