Claim leases within a second after a restart of all VMs

Change: a VM with a session of its own goes on at once; what is not answered yet is asked again every 250 ms for 4 s; a session that was ended holds nobody back, as all its rights had lapsed; why a VM claims nothing is logged.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -74,6 +74,14 @@
 	d.owners.run(ctx)
 }
 
+// Seen takes in the adapters that an engine has reported to hold.
+func (d *Dispatcher) Seen(e roster.Endpoint) {
+	now := time.Now()
+	for _, a := range e.Loaded {
+		d.memory.note(residency.KeyOf(a), e.Incarnation, a.Version, now)
+	}
+}
+
 // Place implements gateway.Dispatcher.
 func (d *Dispatcher) Place(ctx context.Context, w gateway.Work) (gateway.Place, error) {
 	candidates := d.conditions.candidates(d.cfg.Roster.View().Group(w.Group.Name), w.Exclude, time.Now())
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -61,7 +61,7 @@
 // logEnd writes the line of a request that has ended.
 func (c *call) logEnd(state chart.State) {
 	fields := logrus.Fields{
-		"event": "request", "id": c.terms.ID, "end": state, "route": c.route.Name, "account": c.account, "cost": c.cost,
+		"event": "request", "id": c.terms.ID, "end": state, "route": c.route.Name, "account": c.account, "adapter": c.terms.Adapter, "cost": c.cost,
 		"took": time.Since(c.arrived).Round(time.Millisecond), "waited": c.waited.Round(time.Millisecond),
 		"first": c.first.Round(time.Millisecond), "runs": c.runs, "rejections": c.rejections,
 	}
--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -26,6 +26,9 @@
 	// changed is called after the list of endpoints or the configuration has changed. It is set before
 	// the followers run.
 	changed func()
+	// seen is called with each endpoint that this VM itself has read from the list. It is set before
+	// anything is read.
+	seen func(roster.Endpoint)
 
 	mu sync.RWMutex
 	// The fields below are guarded by mu.
@@ -39,7 +42,7 @@
 
 func newBeliefs(p Platform, log logrus.FieldLogger) *beliefs {
 	return &beliefs{
-		platform: p, log: log, roster: roster.New(), changed: func() {},
+		platform: p, log: log, roster: roster.New(), changed: func() {}, seen: func(roster.Endpoint) {},
 		newest: map[residency.Key]int{}, malformed: map[string][]byte{},
 	}
 }
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -331,7 +331,8 @@
 
 // connectLeases tells every part that acts under leases of leases gained and lost, and the leases and
 // orders of what has changed.
-func connectLeases(f fleet, b *beliefs, o *orders.Service, a allowances, p *process) {
+func connectLeases(f fleet, b *beliefs, o *orders.Service, a allowances, d *dispatch.Dispatcher, p *process) {
+	b.seen = d.Seen
 	f.listeners.parts = []lease.Listener{o, a.home}
 	f.members.SetStatus(func() membership.Status {
 		storeDown, leaseSeen, claims := f.leases.Status()
--- a/pkg/gatewayd/reading.go
+++ b/pkg/gatewayd/reading.go
@@ -119,6 +119,7 @@
 	list = append(list, r.lapsed(list, now)...)
 	values := make(map[string][]byte, len(list))
 	for i := range list {
+		r.beliefs.seen(list[i])
 		list[i].Loaded = nil
 		data, err := json.Marshal(list[i])
 		if err != nil {
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -141,8 +141,12 @@
 
 // run makes this VM a steward when there are too few, until ctx ends.
 func (s *stewards) run(ctx context.Context) {
-	for ctx.Err() == nil && !s.due() {
+	s.awaitDirectory(ctx)
+	for ctx.Err() == nil && !s.wasSteward() {
 		pause(ctx, s.hesitation())
+		if s.due() {
+			break
+		}
 	}
 	if ctx.Err() != nil {
 		return
@@ -153,7 +157,7 @@
 		s.log.WithError(err).WithField("event", "leases_not_read").Warn()
 	}
 	s.take(lease.ReadDirectory(rows))
-	if err != nil || !s.due() {
+	if err != nil || !s.wasSteward() && !s.due() {
 		pause(ctx, s.hesitation())
 		s.run(ctx)
 		return
@@ -173,16 +177,36 @@
 	return time.Duration(float64(volunteerStep+rand.N(volunteerSpread)) / max(s.self.Cores, 0.05))
 }
 
-// due reports whether this VM is needed as a steward, or has been one.
+// awaitDirectory waits until something is known of the leases.
+func (s *stewards) awaitDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.RLock()
+		known := s.known
+		s.mu.RUnlock()
+		if known {
+			return
+		}
+		pause(ctx, directoryStep)
+	}
+}
+
+// directoryStep is the time between two looks at whether something is known of the leases.
+const directoryStep = 10 * time.Millisecond
+
+// wasSteward reports whether an earlier process on this VM was a steward, whose session has not ended.
+func (s *stewards) wasSteward() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.ContainsFunc(s.directory.VMs, func(vm lease.SessionVM) bool { return vm.ID == s.self.ID })
+}
+
+// due reports whether this VM is needed as a steward.
 func (s *stewards) due() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if !s.known {
 		return false
 	}
-	if slices.ContainsFunc(s.directory.VMs, func(vm lease.SessionVM) bool { return vm.ID == s.self.ID }) {
-		return true
-	}
 	able := 0
 	for _, vm := range s.directory.VMs {
 		if !vm.Draining {
--- a/pkg/lease/claim.go
+++ b/pkg/lease/claim.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/membership"
 )
 
@@ -36,15 +39,12 @@
 }
 
 // known reports whether no VM can act on its peers' word that the table is down without this VM's
-// word: each one is gone, has stopped, was ended for so long that all its rights have lapsed, or had
-// listed this VM's session when it last renewed its own.
+// word: each one is gone, has stopped, was ended after all its rights had lapsed, or had listed this VM's
+// session when it last renewed its own.
 // m.mu is held.
-func (m *Manager) known(now time.Time) bool {
+func (m *Manager) known() bool {
 	for vm, s := range m.sessions {
-		if vm == m.cfg.ID || s.Closed || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
-			continue
-		}
-		if !s.malformed && s.Ended && now.Sub(s.since) > m.longestDuration()+m.cfg.Margin {
+		if vm == m.cfg.ID || s.over() || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
 			continue
 		}
 		if s.malformed || s.Seen < m.own.created {
@@ -54,6 +54,27 @@
 	return true
 }
 
+// holdBack logs why this VM claims no lease for now, once for each change. m.mu is held.
+func (m *Manager) holdBack(reason string) {
+	if m.heldBack == reason {
+		return
+	}
+	m.heldBack = reason
+	fields := logrus.Fields{"event": "claims_held_back", "reason": reason}
+	if reason == "" {
+		fields["event"] = "claims_free"
+	}
+	var others []string
+	for vm, s := range m.sessions {
+		if vm != m.cfg.ID && !s.over() && !m.fleet.Gone(vm, s.Incarnation) {
+			others = append(others, vm)
+		}
+	}
+	slices.Sort(others)
+	fields["sessions"] = strings.Join(others, ",")
+	m.log.WithFields(fields).Info()
+}
+
 // lingering returns the earlier holders whose orders may still arrive after a claim of the lease:
 // those that have neither handed over nor are proven gone. The successors are among them unless the
 // table has answered this VM from before the row's last sign of life on, because one of them may have
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -136,6 +136,8 @@
 	nextRebalance time.Time
 	draining      bool
 	closed        bool
+	// heldBack is why this VM claims no lease for now; empty if it may.
+	heldBack string
 	// woken says that something has happened since the last listing.
 	woken bool
 }
@@ -204,6 +206,10 @@
 // sleep waits for a period, for the time at which a claim is due, or for a wake-up.
 func (m *Manager) sleep(ctx context.Context, due time.Time) bool {
 	wait := m.cfg.Period
+	if m.starting(time.Now()) {
+		wait = min(wait, startPeriod)
+		m.fleet.Announce()
+	}
 	if until := time.Until(due); !due.IsZero() && until < wait {
 		wait = max(until, minTickGap)
 	}
@@ -221,6 +227,21 @@
 	return true
 }
 
+const (
+	// startPeriod is the time between two looks at the table while this VM waits for the word of VMs that
+	// may be starting too.
+	startPeriod = 250 * time.Millisecond
+	// startLimit is how long after the table has begun to answer this VM looks that often.
+	startLimit = 4 * time.Second
+)
+
+// starting reports whether this VM waits for the word of VMs that may be starting too.
+func (m *Manager) starting(now time.Time) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.heldBack != "" && !m.upSince.IsZero() && now.Sub(m.upSince) < startLimit
+}
+
 // minTickGap bounds the pace of the work loop.
 const minTickGap = 10 * time.Millisecond
 
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -92,12 +92,15 @@
 		return p
 	}
 	if !m.window(now) {
+		m.holdBack("not all VMs have said that the table answers them")
 		p.wait(m.windowOpens())
 		return p
 	}
-	if !m.known(now) {
+	if !m.known() {
+		m.holdBack("a VM does not know of this one")
 		return p
 	}
+	m.holdBack("")
 	m.planClaims(p, live, now)
 	m.planSessions(p, live, now)
 	return p
@@ -114,7 +117,7 @@
 		Capacity:    m.cfg.Capacity,
 		Seen:        m.seen,
 		Draining:    m.draining,
-		Able:        m.own.created != 0 && !m.draining && m.window(now) && m.known(now),
+		Able:        m.own.created != 0 && !m.draining && m.window(now) && m.known(),
 	}
 }
 
--- a/pkg/membership/sighting.go
+++ b/pkg/membership/sighting.go
@@ -35,6 +35,8 @@
 		rec.life = chart.NewMachine(vmChart)
 		rec.member.Incarnation = seen.Incarnation
 		rec.member.PeerAddress = seen.PeerAddress
+		// Leases may hang on how soon this VM has the other's word.
+		r.Announce()
 	}
 	if !seen.Renewed || seen.Incarnation != rec.member.Incarnation || rec.goneIncarnations[seen.Incarnation] {
 		return
