Give up silent connections between VMs; list newcomers at once

Heartbeats that had been sent to VMs without power kept their connections, on which nothing arrived any more; newcomers waited for the others' next listing. Change: a connection on which nothing has arrived since a call that timed out was sent is closed; a live VM without a listed session makes the others list.

--- a/pkg/lease/claim.go
+++ b/pkg/lease/claim.go
@@ -38,40 +38,35 @@
 	return s.since.Add(max(s.Duration, m.cfg.Duration) + m.cfg.Margin)
 }
 
-// known reports whether no VM can act on its peers' word that the table is down without this VM's
-// word: each one is gone, has stopped, was ended after all its rights had lapsed, or had listed this VM's
-// session when it last renewed its own.
-// m.mu is held.
-func (m *Manager) known() bool {
+// strangers returns the VMs that could act on their peers' word that the table is down without this VM's
+// word: those that live, and had not listed this VM's session when they last renewed their own. Sessions
+// end after all rights of their VMs have lapsed. m.mu is held.
+func (m *Manager) strangers() []string {
+	var list []string
 	for vm, s := range m.sessions {
 		if vm == m.cfg.ID || s.over() || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
 			continue
 		}
 		if s.malformed || s.Seen < m.own.created {
-			return false
+			list = append(list, vm)
 		}
 	}
-	return true
+	return list
 }
 
-// holdBack logs why this VM claims no lease for now, once for each change. m.mu is held.
-func (m *Manager) holdBack(reason string) {
-	if m.heldBack == reason {
+// holdBack logs why this VM claims no lease for now, and because of which VMs, once for each change.
+// m.mu is held.
+func (m *Manager) holdBack(reason string, because []string) {
+	slices.Sort(because)
+	state := reason + " " + strings.Join(because, ",")
+	if m.heldBack == state {
 		return
 	}
-	m.heldBack = reason
-	fields := logrus.Fields{"event": "claims_held_back", "reason": reason}
-	if reason == "" {
-		fields["event"] = "claims_free"
-	}
-	var others []string
-	for vm, s := range m.sessions {
-		if vm != m.cfg.ID && !s.over() && !m.fleet.Gone(vm, s.Incarnation) {
-			others = append(others, vm)
-		}
+	m.heldBack = state
+	fields := logrus.Fields{"event": "claims_free"}
+	if reason != "" {
+		fields = logrus.Fields{"event": "claims_held_back", "reason": reason, "vms": strings.Join(because, ",")}
 	}
-	slices.Sort(others)
-	fields["sessions"] = strings.Join(others, ",")
 	m.log.WithFields(fields).Info()
 }
 
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -239,7 +240,7 @@
 func (m *Manager) starting(now time.Time) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.heldBack != "" && !m.upSince.IsZero() && now.Sub(m.upSince) < startLimit
+	return strings.TrimSpace(m.heldBack) != "" && !m.upSince.IsZero() && now.Sub(m.upSince) < startLimit
 }
 
 // minTickGap bounds the pace of the work loop.
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -92,15 +92,15 @@
 		return p
 	}
 	if !m.window(now) {
-		m.holdBack("not all VMs have said that the table answers them")
+		m.holdBack("VMs have not said that the table answers them", m.unvouched())
 		p.wait(m.windowOpens())
 		return p
 	}
-	if !m.known() {
-		m.holdBack("a VM does not know of this one")
+	if strangers := m.strangers(); len(strangers) > 0 {
+		m.holdBack("VMs do not know of this one", strangers)
 		return p
 	}
-	m.holdBack("")
+	m.holdBack("", nil)
 	m.planClaims(p, live, now)
 	m.planSessions(p, live, now)
 	return p
@@ -117,7 +117,7 @@
 		Capacity:    m.cfg.Capacity,
 		Seen:        m.seen,
 		Draining:    m.draining,
-		Able:        m.own.created != 0 && !m.draining && m.window(now) && m.known(),
+		Able:        m.own.created != 0 && !m.draining && m.window(now) && len(m.strangers()) == 0,
 	}
 }
 
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -42,13 +42,17 @@
 // calm reports whether the rows need not be listed now: they were listed lately, nothing has happened
 // since, and every lease has a holder that answers and that the table answers.
 func (m *Manager) calm(now time.Time) bool {
+	members := m.fleet.Live()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	live := map[string]bool{}
-	for _, member := range m.fleet.Live() {
+	known := true
+	for _, member := range members {
 		live[member.ID] = !member.StoreDown
+		// A VM without a listed session waits for this one to have listed it.
+		known = known && (member.ID == m.cfg.ID || m.sessions[member.ID].Incarnation == member.Incarnation)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	woken := m.woken
+	woken := m.woken || !known
 	m.woken = false
 	if woken || m.draining || m.upSince.IsZero() || m.own.created == 0 || now.Sub(m.rowsBase) >= m.cfg.ListPeriod {
 		return false
@@ -100,23 +104,24 @@
 // that they claim: the table has answered for long enough, or every VM says that it answers. m.mu is
 // held.
 func (m *Manager) window(now time.Time) bool {
-	return !m.upSince.IsZero() && (!now.Before(m.windowOpens()) || m.vouched())
+	return !m.upSince.IsZero() && (!now.Before(m.windowOpens()) || len(m.unvouched()) == 0)
 }
 
-// vouched reports whether every VM that could hold a lease by its peers' word has said, since the table
-// has answered this VM, that it answers it too. From then on none of them can have this VM's word that
+// unvouched returns the VMs that could hold a lease by their peers' word and have not said, since the table
+// has answered this VM, that it answers them too. Once they have, none of them can have this VM's word that
 // the table is down. m.mu is held.
-func (m *Manager) vouched() bool {
+func (m *Manager) unvouched() []string {
+	var list []string
 	for vm, s := range m.sessions {
 		if vm == m.cfg.ID || s.over() || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
 			continue
 		}
 		answer, ok := m.fleet.Answer(vm, s.Incarnation)
 		if s.malformed || !ok || !answer.Sent.After(m.upSince) || answer.Beat.Status.StoreDown {
-			return false
+			list = append(list, vm)
 		}
 	}
-	return true
+	return list
 }
 
 // windowOpens returns when window will hold, zero while the table is down. m.mu is held.
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/peer"
 )
@@ -31,6 +32,8 @@
 		r.answered(Answer{Beat: reply, Sent: sent})
 	case errors.Is(err, peer.ErrRefused):
 		r.refused(target)
+	case err != nil:
+		r.log.WithError(err).WithFields(logrus.Fields{"event": "heartbeat_lost", "vm": target.ID, "sent": sent}).Debug()
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -7,6 +7,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,8 +15,9 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// DialTimeout bounds connecting to a peer, with the TLS handshake.
-const DialTimeout = 2 * time.Second
+// DialTimeout bounds connecting to a peer, with the TLS handshake. A machine that is gone does not answer,
+// and one that is back needs a new attempt.
+const DialTimeout = 500 * time.Millisecond
 
 // TLSSource returns the TLS configuration for the next connection, so that renewed certificates
 // are used without a restart. A nil configuration means plain TCP, which settings allow on
@@ -28,10 +30,25 @@
 	traffic Traffic
 
 	mu      sync.Mutex
-	clients map[string]*rpc.Client
+	clients map[string]*client // by address
 	closed  bool
 }
 
+// client is the calls over one connection.
+type client struct {
+	*rpc.Client
+	conn *countingConn
+}
+
+// minSilence is the least time without an answer after which a connection counts as dead.
+const minSilence = 50 * time.Millisecond
+
+// silent reports whether nothing has arrived on the connection since a call was sent on it. Connections
+// can fall silent for good while new ones work.
+func (c *client) silent(sent, now time.Time) bool {
+	return now.Sub(sent) >= minSilence && c.conn.lastRead.Load() < sent.UnixNano()
+}
+
 // Traffic counts the bytes that pass through connections.
 type Traffic struct {
 	In  metrics.Counter
@@ -48,7 +65,7 @@
 
 // NewPool returns a pool that dials with the given TLS configuration.
 func NewPool(source TLSSource, traffic Traffic) *Pool {
-	return &Pool{tls: source, traffic: traffic, clients: map[string]*rpc.Client{}}
+	return &Pool{tls: source, traffic: traffic, clients: map[string]*client{}}
 }
 
 // Call implements Caller. A call on a cached connection that had already ended is sent once more
@@ -59,6 +76,7 @@
 		if err != nil {
 			return err
 		}
+		sent := time.Now()
 		err = p.callOn(ctx, client, method, args, reply)
 		if err == nil {
 			return nil
@@ -66,7 +84,7 @@
 		if isMethodError(err) {
 			return err
 		}
-		if ctx.Err() == nil {
+		if ctx.Err() == nil || client.silent(sent, time.Now()) {
 			p.drop(address, client)
 		}
 		if errors.Is(err, rpc.ErrShutdown) && attempt == 0 {
@@ -83,7 +101,7 @@
 
 // callOn makes one call. The reply of a call that has been given up may still arrive, so it is decoded
 // into a value of its own, which is copied to reply only if the call ends in time.
-func (p *Pool) callOn(ctx context.Context, client *rpc.Client, method string, args, reply any) error {
+func (p *Pool) callOn(ctx context.Context, client *client, method string, args, reply any) error {
 	arrived := reflect.New(reflect.TypeOf(reply).Elem())
 	call := client.Go(method, args, arrived.Interface(), make(chan *rpc.Call, 1))
 	select {
@@ -97,26 +115,26 @@
 	}
 }
 
-func (p *Pool) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (p *Pool) client(ctx context.Context, address string) (*client, error) {
 	p.mu.Lock()
-	client, ok := p.clients[address]
+	known, ok := p.clients[address]
 	closed := p.closed
 	p.mu.Unlock()
 	if closed {
 		return nil, errors.Wrap(ErrUnreachable, "pool is closed")
 	}
 	if ok {
-		return client, nil
+		return known, nil
 	}
-	conn, err := p.dial(ctx, address)
+	conn, counting, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return p.keep(address, rpc.NewClient(conn)), nil
+	return p.keep(address, &client{Client: rpc.NewClient(conn), conn: counting}), nil
 }
 
 // keep stores client unless another call has connected meanwhile, and returns the one to use.
-func (p *Pool) keep(address string, client *rpc.Client) *rpc.Client {
+func (p *Pool) keep(address string, client *client) *client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	existing, ok := p.clients[address]
@@ -128,31 +146,31 @@
 	return client
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, *countingConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	dialer := &net.Dialer{}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	plain, err := dialer.DialContext(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil, errors.Wrapf(ErrRefused, "dial %s", address)
+		return nil, nil, errors.Wrapf(ErrRefused, "dial %s", address)
 	}
 	if err != nil {
-		return nil, errors.Wrapf(ErrUnreachable, "dial %s: %v", address, err)
+		return nil, nil, errors.Wrapf(ErrUnreachable, "dial %s: %v", address, err)
 	}
-	conn = &countingConn{Conn: conn, traffic: p.traffic}
+	conn := &countingConn{Conn: plain, traffic: p.traffic}
 	config := p.tls()
 	if config == nil {
-		return conn, nil
+		return conn, conn, nil
 	}
 	secured := tls.Client(conn, config)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
-		return nil, errors.Wrapf(ErrUnreachable, "handshake with %s: %v", address, err)
+		return nil, nil, errors.Wrapf(ErrUnreachable, "handshake with %s: %v", address, err)
 	}
-	return secured, nil
+	return secured, conn, nil
 }
 
-func (p *Pool) drop(address string, client *rpc.Client) {
+func (p *Pool) drop(address string, client *client) {
 	p.mu.Lock()
 	if p.clients[address] == client {
 		delete(p.clients, address)
@@ -175,12 +193,17 @@
 type countingConn struct {
 	net.Conn
 	traffic Traffic
+	// lastRead is when bytes arrived last, in Unix nanoseconds.
+	lastRead atomic.Int64
 }
 
 // Read counts the bytes read.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.In.Inc(int64(n))
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -132,3 +132,51 @@
 		require.Zero(t, reply)
 	}
 }
+
+// muteFirst swallows the bytes of the first connection, as a connection that has fallen silent does.
+type muteFirst struct {
+	net.Listener
+	accepted int
+}
+
+func (l *muteFirst) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.accepted++
+	if l.accepted == 1 {
+		return &muteConn{Conn: conn}, nil
+	}
+	return conn, nil
+}
+
+type muteConn struct{ net.Conn }
+
+func (c *muteConn) Write(b []byte) (int, error) { return len(b), nil }
+
+// A call on a connection that has fallen silent fails by its time; the next one has a new connection.
+func TestSilentConnectionsAreGivenUp(t *testing.T) {
+	logger, _ := test.NewNullLogger()
+	server := NewServer(plain, NewTraffic(metrics.NewRegistry(), "peer"), logger)
+	require.NoError(t, server.Register("Adder", &adder{block: make(chan struct{})}))
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(&muteFirst{Listener: inner}) }()
+	pool := NewPool(plain, NewTraffic(metrics.NewRegistry(), "peer"))
+	defer func() {
+		pool.Close()
+		_ = inner.Close()
+		server.Close()
+		require.NoError(t, <-done)
+	}()
+	call := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		var sum int
+		return pool.Call(ctx, inner.Addr().String(), "Adder.Add", Sum{1, 2}, &sum)
+	}
+	require.ErrorIs(t, call(2*minSilence), ErrUnreachable)
+	require.NoError(t, call(10*time.Second))
+}
