Take the home with the shortest wait; keep queues for loads short; bound loads by how long they take

Change: owners offer what a request would have to wait, for the first token and for its adapter; the request takes the shortest wait, a load counting extra, and is refused at once if it would be late. A busy home makes the next one load the adapter beforehand. Loads are ordered by how many requests they serve, and fewer run at once when they slow each other down.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
@@ -12,20 +15,30 @@
 )
 
 const (
-	// homes is the number of endpoints at which a request may find its adapter before it goes to the
-	// one with the least work.
+	// homes is the number of endpoints at which a request may find its adapter.
 	homes = 3
-	// easyShare is the part of a request's objective that the work at its home may take up before the
-	// next home is looked at.
+	// easyShare is the part of a request's objective that the work at a home may take up for the request to
+	// go there without a look at the next one.
 	easyShare = 0.25
-	// promptShare is the part of the objective for which a request waits for its adapter at one home
-	// before it tries the next.
-	promptShare = 0.75
-	// lateShare is the multiple of the objective after which an answer is of so little use that the
-	// request is refused instead.
-	lateShare = 2.5
+	// loadShare is the part of the objective for which a request waits for its adapter at a home without a
+	// look at the next one.
+	loadShare = 0.55
+	// lateShare is the multiple of the objective beyond which a request is refused: one that is answered
+	// late keeps others from being answered in time. Less urgent requests, and those of accounts beyond
+	// their limit, are refused before others.
+	lateShare       = 1.2
+	lessUrgentShare = 0.95
+	excessShare     = 0.6
+	// spill is added to the wait at a home that would have to load the adapter: the load takes a place and
+	// a share of the weight store from others.
+	spill = 100 * time.Millisecond
+	// patienceShare is the multiple of the objective after which a wait that takes longer than expected
+	// ends.
+	patienceShare = 2.0
 	// defaultObjective stands for routes that name none.
 	defaultObjective = time.Second
+	// soonest is the least time after which a refused caller should come back.
+	soonest = 100 * time.Millisecond
 )
 
 // search is the way of one request over its homes.
@@ -35,25 +48,36 @@
 	objective time.Duration
 	// giveUp is when the request is refused rather than waiting on.
 	giveUp time.Time
-	// least is the home with the least work among those that have too much, soonest the one where the
-	// adapter can be used first among those where that takes too long.
-	least, soonest *offer
+	// offers are the homes where the request would have to wait.
+	offers []offer
+	// answers are what the owners have answered, for the refusal.
+	answers []string
 }
 
-// offer is what the owner of a home has answered.
+// offer is a home where a request would have to wait.
 type offer struct {
 	endpoint roster.Endpoint
-	reply    orders.AcquireReply
+	estimate time.Duration
+	delay    time.Duration
+}
+
+// wait is how long a request would have to wait at the home, with a preference for homes that hold its
+// adapter.
+func (o offer) wait() time.Duration {
+	if o.delay > 0 {
+		return o.estimate + o.delay + spill
+	}
+	return o.estimate
 }
 
 // placeAtEngine asks the owners of the request's homes in turn. If none is easy, it goes to the one with
-// the least work, or to the one where its adapter can be used first.
+// the shortest wait.
 func (d *Dispatcher) placeAtEngine(ctx context.Context, w gateway.Work, candidates []roster.Endpoint) (gateway.Place, error) {
 	s := &search{d: d, w: w, objective: w.Route.Objective}
 	if s.objective == 0 {
 		s.objective = defaultObjective
 	}
-	s.giveUp = w.Arrived.Add(time.Duration(lateShare * float64(s.objective)))
+	s.giveUp = w.Arrived.Add(s.share(patienceShare))
 	if w.Deadline.Before(s.giveUp) {
 		s.giveUp = w.Deadline
 	}
@@ -66,76 +90,111 @@
 	if place, ok := s.settle(ctx); ok {
 		return place, nil
 	}
-	if place, ok := d.unowned(w, candidates); ok {
-		return place, nil
+	if len(s.offers) == 0 {
+		// No owner can be reached. An engine that does not hold the adapter says so without running the
+		// request.
+		return d.placeBlindly(w, ranked[0]), nil
 	}
 	return gateway.Place{}, s.refusal()
 }
 
+// share returns a part of the objective.
+func (s *search) share(part float64) time.Duration {
+	return time.Duration(part * float64(s.objective))
+}
+
+// limit is the longest wait that the request is worth.
+func (s *search) limit() time.Duration {
+	switch {
+	case s.w.Excess:
+		return s.share(excessShare)
+	case s.w.Urgency > 0:
+		return s.share(lessUrgentShare)
+	}
+	return s.share(lateShare)
+}
+
 // try asks for a place at a home that is easy to get.
 func (s *search) try(ctx context.Context, e roster.Endpoint) (gateway.Place, bool) {
-	patience := min(time.Duration(promptShare*float64(s.objective)), time.Until(s.giveUp))
-	place, reply, ok := s.d.ask(ctx, s.w, e, time.Duration(easyShare*float64(s.objective)), patience)
+	place, reply, ok := s.d.ask(ctx, s.w, e, bounds{s.share(easyShare), s.share(loadShare)}, s.giveUp)
 	if ok {
 		return place, true
 	}
+	s.answers = append(s.answers, describe(e, reply))
 	switch reply.Status {
-	case orders.Busy:
-		if s.least == nil || reply.Estimate < s.least.reply.Estimate {
-			s.least = &offer{e, reply}
-		}
-	case orders.Late:
-		if s.soonest == nil || reply.Delay < s.soonest.reply.Delay {
-			s.soonest = &offer{e, reply}
-		}
+	case orders.Offered, orders.Waiting:
+		s.offers = append(s.offers, offer{e, reply.Estimate, reply.Delay})
+	case orders.NotOwner:
+		return s.d.placeWhereFound(s.w, e)
 	}
 	return gateway.Place{}, false
 }
 
-// settle takes the best of what the homes have offered.
+// describe returns an owner's answer for the log: endpoint, status, and the times that speak against it.
+func describe(e roster.Endpoint, reply orders.AcquireReply) string {
+	text := e.ID + ":" + reply.Status.String()
+	if reply.Estimate > 0 || reply.Delay > 0 {
+		text += ":" + reply.Estimate.Round(time.Millisecond).String() + "+" + reply.Delay.Round(time.Millisecond).String()
+	}
+	return text
+}
+
+// settle takes the home with the shortest wait, if the request is worth it.
 func (s *search) settle(ctx context.Context) (gateway.Place, bool) {
-	left := time.Until(s.giveUp)
-	if s.least != nil && s.least.reply.Estimate < left {
-		if place, _, ok := s.d.ask(ctx, s.w, s.least.endpoint, 0, left); ok {
-			return place, true
-		}
+	if len(s.offers) == 0 {
+		return gateway.Place{}, false
+	}
+	best := slices.MinFunc(s.offers, func(a, b offer) int { return cmp.Compare(a.wait(), b.wait()) })
+	if best.estimate+best.delay > s.limit()-time.Since(s.w.Arrived) {
+		return gateway.Place{}, false
+	}
+	s.prefetch(ctx, best)
+	// What the home has offered may have changed a little meanwhile.
+	limits := bounds{best.estimate + s.share(easyShare), best.delay + s.share(easyShare)}
+	place, reply, ok := s.d.ask(ctx, s.w, best.endpoint, limits, s.giveUp)
+	if !ok {
+		s.answers = append(s.answers, describe(best.endpoint, reply))
 	}
-	if s.soonest != nil && s.soonest.reply.Delay < left {
-		if place, _, ok := s.d.ask(ctx, s.w, s.soonest.endpoint, 0, left); ok {
-			return place, true
+	return place, ok
+}
+
+// prefetch makes the home with the least work load the adapter if the one that the request goes to is
+// busy, so that the next requests find it there.
+func (s *search) prefetch(ctx context.Context, best offer) {
+	if s.w.Terms.Adapter == "" || best.delay > 0 {
+		return
+	}
+	for _, o := range s.offers {
+		if o.delay > 0 && o.estimate < best.estimate/2 {
+			go s.d.prefetch(context.WithoutCancel(ctx), s.w, o.endpoint)
+			return
 		}
 	}
-	return gateway.Place{}, false
 }
 
 // refusal says when the caller should come back.
 func (s *search) refusal() error {
-	e := result.New(result.QueueFull, "no engine can take the request in time")
-	switch {
-	case s.soonest != nil:
-		e.RetryAfter = s.soonest.reply.Delay
-	case s.least != nil:
-		e.RetryAfter = s.least.reply.Estimate
-	}
+	e := result.New(result.QueueFull, "no engine can take the request in time: "+strings.Join(s.answers, " "))
+	best := slices.MinFunc(s.offers, func(a, b offer) int { return cmp.Compare(a.wait(), b.wait()) })
+	e.RetryAfter = max(best.wait()-s.limit()/2, soonest)
 	return e
 }
 
-// ask asks the owner of an engine for a place until it is granted or refused, or patience has passed.
-func (d *Dispatcher) ask(ctx context.Context, w gateway.Work, e roster.Endpoint, bound, patience time.Duration) (gateway.Place, orders.AcquireReply, bool) {
+// bounds are the longest waits that a caller accepts: for the first token, and for the adapter.
+type bounds struct{ first, load time.Duration }
+
+// ask asks the owner of an engine for a place until it is granted or refused, or giveUp has come.
+func (d *Dispatcher) ask(ctx context.Context, w gateway.Work, e roster.Endpoint, limits bounds, giveUp time.Time) (gateway.Place, orders.AcquireReply, bool) {
 	address, known := d.owners.address(e.ID)
 	if !known || !d.owners.trusted(address, time.Now()) {
 		return gateway.Place{}, orders.AcquireReply{Status: orders.NotOwner}, false
 	}
-	until := time.Now().Add(patience)
 	permit := d.owners.permits.Add(1)
-	args := &orders.AcquireArgs{
-		Permit: permit, Endpoint: e.ID, Started: e.Started,
-		Model: w.Terms.Model, Adapter: w.Terms.Adapter, Urgency: w.Urgency,
-		Tokens: w.Terms.PromptTokens, Output: w.Terms.OutputTokens, Prompt: w.Terms.Prompt, Bound: bound,
-	}
-	reply := orders.AcquireReply{Status: orders.Late}
+	args := d.args(w, e)
+	args.Permit, args.Bound, args.LoadBound = permit, limits.first, limits.load
+	reply := orders.AcquireReply{Status: orders.Waiting}
 	for {
-		args.Left, args.Life = time.Until(until), time.Until(w.Deadline)
+		args.Left, args.Life = time.Until(giveUp), time.Until(w.Deadline)
 		if args.Left <= 0 || ctx.Err() != nil || !d.open(e) {
 			return gateway.Place{}, reply, false
 		}
@@ -145,48 +204,80 @@
 		}
 		switch reply.Status {
 		case orders.Granted:
-			notify := func(n orders.Notice) {
+			return d.granted(w, e, reply, func(n orders.Notice) {
 				n.Permit = permit
 				d.owners.notify(address, n)
-			}
-			d.memory.note(residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}, e.Incarnation, reply.Version, time.Now())
-			if !d.open(e) {
-				notify(orders.Notice{Ended: true})
-				return gateway.Place{}, reply, false
-			}
-			return d.place(e, reply.Version, notify), reply, true
+			})
 		case orders.Waiting:
-			args.Bound = 0
-			reply.Status = orders.Late
+			// The request has its place in the queue for the adapter: only the time ends the wait.
+			args.Bound, args.LoadBound = unbounded, unbounded
 		default:
 			return gateway.Place{}, reply, false
 		}
 	}
 }
 
+// unbounded stands for any wait.
+const unbounded = time.Hour
+
+// args returns what an owner is told of a request.
+func (d *Dispatcher) args(w gateway.Work, e roster.Endpoint) *orders.AcquireArgs {
+	return &orders.AcquireArgs{
+		Endpoint: e.ID, Started: e.Started, Model: w.Terms.Model, Adapter: w.Terms.Adapter, Urgency: w.Urgency,
+		Tokens: w.Terms.PromptTokens, Output: w.Terms.OutputTokens, Prompt: w.Terms.Prompt,
+	}
+}
+
+// granted returns the place that an owner has granted, unless the endpoint has begun to leave meanwhile.
+func (d *Dispatcher) granted(w gateway.Work, e roster.Endpoint, reply orders.AcquireReply, notify func(orders.Notice)) (gateway.Place, orders.AcquireReply, bool) {
+	if !d.open(e) {
+		notify(orders.Notice{Ended: true})
+		return gateway.Place{}, reply, false
+	}
+	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
+	d.memory.note(key, e.Incarnation, reply.Version, time.Now())
+	return d.place(e, reply.Version, notify), reply, true
+}
+
+// prefetch asks the owner of an engine to load a request's adapter for later requests.
+func (d *Dispatcher) prefetch(ctx context.Context, w gateway.Work, e roster.Endpoint) {
+	address, known := d.owners.address(e.ID)
+	if !known || !d.owners.trusted(address, time.Now()) {
+		return
+	}
+	args := d.args(w, e)
+	args.Prefetch = true
+	d.owners.acquire(ctx, address, args)
+}
+
 // open reports whether the endpoint still takes new requests.
 func (d *Dispatcher) open(e roster.Endpoint) bool {
 	now, ok := d.cfg.Roster.View().Endpoint(e.ID)
 	return ok && now.Incarnation == e.Incarnation && !now.Draining
 }
 
-// unowned returns a place without a permit at an engine where requests have found the adapter lately.
-// Nobody evicts adapters there while its owner cannot be reached.
-func (d *Dispatcher) unowned(w gateway.Work, candidates []roster.Endpoint) (gateway.Place, bool) {
+// placeWhereFound returns a place without a permit at an engine whose owner cannot be reached, if requests
+// have found the adapter there lately. Nobody evicts adapters there meanwhile.
+func (d *Dispatcher) placeWhereFound(w gateway.Work, e roster.Endpoint) (gateway.Place, bool) {
 	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
-	now := time.Now()
-	for _, e := range rankHomes(homeKey(w), candidates) {
-		if address, known := d.owners.address(e.ID); known && d.owners.trusted(address, now) {
-			continue
-		}
-		version, found := d.memory.version(key, e.Incarnation, now)
-		if w.Terms.Adapter == "" || found && version >= d.cfg.Newest(key) {
-			return d.place(e, version, func(n orders.Notice) {
-				if n.Missing {
-					d.memory.forget(key, e.Incarnation)
-				}
-			}), true
-		}
+	version, found := d.memory.version(key, e.Incarnation, time.Now())
+	if w.Terms.Adapter != "" && (!found || version < d.cfg.Newest(key)) {
+		return gateway.Place{}, false
 	}
-	return gateway.Place{}, false
+	return d.placeUnowned(e, key, version), true
+}
+
+// placeBlindly returns a place at an engine of which nothing is known.
+func (d *Dispatcher) placeBlindly(w gateway.Work, e roster.Endpoint) gateway.Place {
+	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
+	return d.placeUnowned(e, key, d.cfg.Newest(key))
+}
+
+// placeUnowned returns a place without a permit.
+func (d *Dispatcher) placeUnowned(e roster.Endpoint, key residency.Key, version int) gateway.Place {
+	return d.place(e, version, func(n orders.Notice) {
+		if n.Missing {
+			d.memory.forget(key, e.Incarnation)
+		}
+	})
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,7 +111,6 @@
 	cfg      Config
 	meters   meters
 	draining atomic.Bool
-	open     sync.WaitGroup
 	running  atomic.Int64
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -400,7 +400,7 @@
 func TestABrokenStreamIsResumed(t *testing.T) {
 	first := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Signature", "first")
-		flushThenDrop(events(1, 2) + "id: 3\nda")(w, r)
+		flushThenDrop(events(1, 2)+"id: 3\nda")(w, r)
 	}
 	second := func(w http.ResponseWriter, r *http.Request) {
 		last, err := strconv.Atoi(r.Header.Get("Last"))
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -25,8 +25,8 @@
 	// volunteerSpread the random time on top; weaker VMs wait longer, so that able ones come first.
 	volunteerStep   = 150 * time.Millisecond
 	volunteerSpread = 300 * time.Millisecond
-	// forgetVMs is how long a VM that is no longer spoken of is still counted.
-	forgetVMs = 10 * time.Second
+	// forgetAfter is how long a VM that is no longer spoken of is still counted.
+	forgetAfter = 10 * time.Second
 )
 
 // stewards knows the VMs that hold leases, and makes this VM one of them when there are too few. It
@@ -236,7 +236,7 @@
 		s.vms[id] = seenVM{VM: vm, at: now}
 	}
 	for id, vm := range s.vms {
-		if _, still := vms[id]; !still && now.Sub(vm.at) > forgetVMs {
+		if _, still := vms[id]; !still && now.Sub(vm.at) > forgetAfter {
 			delete(s.vms, id)
 		}
 	}
@@ -251,7 +251,7 @@
 	for id, vm := range s.vms {
 		m := membership.Member{ID: id, Incarnation: vm.Incarnation, PeerAddress: vm.Address}
 		if vm.Silent {
-			m.Silent = forgetVMs
+			m.Silent = forgetAfter
 		}
 		byID[id] = m
 	}
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -26,12 +26,10 @@
 const (
 	// Granted says that the request may be sent now.
 	Granted Status = iota
-	// Busy says that the engine has more work than the request's bound allows.
-	Busy
+	// Offered says that the request would have to wait longer than its bounds allow.
+	Offered
 	// NotOwner says that the called VM does not give orders to the engine.
 	NotOwner
-	// Late says that the adapter cannot be loaded in time.
-	Late
 	// Down says that the engine cannot be reached.
 	Down
 	// Waiting says that the adapter is on its way. The caller asks again at once if it wants to wait on.
@@ -44,7 +42,7 @@
 
 // String names the status.
 func (s Status) String() string {
-	return [...]string{"granted", "busy", "not_owner", "late", "down", "waiting"}[s]
+	return [...]string{"granted", "offered", "not_owner", "down", "waiting"}[s]
 }
 
 // AcquireArgs asks for a place for one request at an engine.
@@ -65,8 +63,11 @@
 	Prompt         []dialect.PromptPart
 	// Left is how long the adapter is waited for at most, Life how long the request lasts at most.
 	Left, Life time.Duration
-	// Bound is the longest expected time to the first token that the caller accepts; 0 for any.
-	Bound time.Duration
+	// Bound is the longest expected time to the first token that the caller accepts, LoadBound the longest
+	// expected wait for the adapter.
+	Bound, LoadBound time.Duration
+	// Prefetch asks for the adapter to be loaded if nothing else is to be, and for no place.
+	Prefetch bool
 	// Ended are permits of the caller that have ended, or begun to run, since its last call.
 	Ended []Notice
 }
@@ -78,7 +79,7 @@
 	Version int
 	// Estimate is the expected time to the first token, without the wait for the adapter.
 	Estimate time.Duration
-	// Waited is how long the request has waited for the adapter, Delay how long it still will.
+	// Waited is how long the request has waited for the adapter, Delay how long it would still have to.
 	Waited time.Duration
 	Delay  time.Duration
 }
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -321,18 +321,19 @@
 		w.mu.Unlock()
 		return AcquireReply{Status: Down}
 	}
-	estimate := w.estimate(args)
-	if args.Bound > 0 && estimate > args.Bound {
+	if args.Prefetch {
+		w.prefetch(key, begun)
 		w.mu.Unlock()
-		return AcquireReply{Status: Busy, Estimate: estimate}
+		return AcquireReply{Status: Offered}
 	}
-	if reply, ok := w.letThrough(args, key, begun); ok {
+	estimate, delay := w.estimate(args), w.delay(args, key, begun)
+	if estimate > args.Bound || delay > args.LoadBound {
 		w.mu.Unlock()
-		return reply
+		return AcquireReply{Status: Offered, Estimate: estimate, Delay: delay}
 	}
-	if delay := w.books.Delay(key, begun); w.books.Synced() && delay > args.Left {
+	if reply, ok := w.letThrough(args, key, begun); ok {
 		w.mu.Unlock()
-		return AcquireReply{Status: Late, Estimate: estimate, Delay: delay}
+		return reply
 	}
 	wt := &waiter{args: args, begun: begun, reply: make(chan AcquireReply, 1)}
 	w.waiters[key] = append(w.waiters[key], wt)
@@ -355,6 +356,35 @@
 	return w.leave(wt, key)
 }
 
+// delay returns how long a request would have to wait for its adapter. w.mu is held.
+func (w *worker) delay(args *AcquireArgs, key residency.Key, now time.Time) time.Duration {
+	if args.Adapter == "" && w.books.Ready() {
+		return 0
+	}
+	return w.books.Delay(key, now)
+}
+
+const (
+	// prefetchUrgency ranks loads that no request waits for behind all others.
+	prefetchUrgency = 100
+	// prefetchLife is how long such a load stays wanted.
+	prefetchLife = 500 * time.Millisecond
+)
+
+// prefetch asks for an adapter that is likely to be needed, unless others are waited for. w.mu is held.
+func (w *worker) prefetch(key residency.Key, now time.Time) {
+	if !w.books.Ready() || w.books.Loaded(key) || len(w.waiters) > 0 {
+		return
+	}
+	w.books.Want(key, prefetchUrgency, now)
+	time.AfterFunc(prefetchLife, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.books.Unwant(key)
+	})
+	w.signal()
+}
+
 // estimate returns the expected time to the first token of a request. w.mu is held.
 func (w *worker) estimate(args *AcquireArgs) time.Duration {
 	return w.load.estimate(w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens))
--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -53,6 +53,8 @@
 	// settle is how long an engine's report may lag behind its orders, with a margin: reports are
 	// some hundred milliseconds old.
 	settle = 300 * time.Millisecond
+	// loadRounding is added to the number of loads that may be under way before it is cut to a whole one.
+	loadRounding = 0.25
 	// learnRate is the weight of a new load time in the average.
 	learnRate = 0.2
 )
@@ -112,15 +114,15 @@
 	slots map[Key]*slot
 	wants map[Key]*want
 	warm  warmList
-	// cold and quick are the load times to expect.
-	cold, quick time.Duration
+	// cold and quick are the load times to expect, fastest the least time of a cold load.
+	cold, quick, fastest time.Duration
 }
 
 // New returns books that know nothing of the engine yet.
 func New(cfg Config) *Books {
 	return &Books{
 		cfg: cfg, slots: map[Key]*slot{}, wants: map[Key]*want{}, warm: newWarmList(cfg.WarmCount),
-		cold: firstCold, quick: firstWarm,
+		cold: firstCold, quick: firstWarm, fastest: firstCold,
 	}
 }
 
@@ -231,6 +233,9 @@
 	if b.Loaded(key) {
 		return 0
 	}
+	if !b.synced {
+		return settle + b.cold
+	}
 	if b.synced && b.base.state != loaded {
 		return max(b.cfg.ModelLoad-now.Sub(b.base.ordered), pollStep) + b.cold
 	}
@@ -243,8 +248,10 @@
 			ahead++
 		}
 	}
-	rounds := time.Duration(ahead/max(b.cfg.MaxLoading, 1) + 1)
-	return b.expected(b.warm.has(key)) * rounds
+	if b.loading() >= b.loadLimit() {
+		ahead++
+	}
+	return b.expected(b.warm.has(key)) + b.cold*time.Duration(ahead)/time.Duration(b.loadLimit())
 }
 
 // expected returns the time that a load takes.
--- a/pkg/residency/next.go
+++ b/pkg/residency/next.go
@@ -116,7 +116,7 @@
 
 // nextLoad returns the load that is wanted most, or the eviction that makes room for it.
 func (b *Books) nextLoad(now time.Time) (Action, bool) {
-	if b.loading() >= b.cfg.MaxLoading {
+	if b.loading() >= b.loadLimit() {
 		return Action{}, false
 	}
 	key, ok := b.mostWanted()
@@ -144,8 +144,15 @@
 	return n
 }
 
-// mostWanted returns the adapter to load next: the one with the most urgent waiter, then the one
-// waited for longest.
+// loadLimit returns how many loads may be under way: fewer when loads take longer than they have, because
+// then the weight store serves more of them at once than it can at full speed.
+func (b *Books) loadLimit() int {
+	slowdown := float64(b.cold) / float64(max(b.fastest, 1))
+	return max(int(float64(b.cfg.MaxLoading)/max(slowdown, 1)+loadRounding), 1)
+}
+
+// mostWanted returns the adapter to load next: the one with the most urgent waiter, then the one that most
+// requests wait for, then the one waited for longest.
 func (b *Books) mostWanted() (Key, bool) {
 	var best Key
 	var found *want
@@ -157,13 +164,24 @@
 		if s != nil && (s.state != loaded || !b.stale(key, s)) {
 			continue
 		}
-		if found == nil || w.urgency < found.urgency || w.urgency == found.urgency && w.since.Before(found.since) {
+		if found == nil || w.before(found) {
 			best, found = key, w
 		}
 	}
 	return best, found != nil
 }
 
+// before reports whether the adapter is to be loaded before the other.
+func (w *want) before(other *want) bool {
+	if w.urgency != other.urgency {
+		return w.urgency < other.urgency
+	}
+	if w.waiters != other.waiters {
+		return w.waiters > other.waiters
+	}
+	return w.since.Before(other.since)
+}
+
 // victim returns the idle adapter that was used least recently.
 func (b *Books) victim(now time.Time) (Key, bool) {
 	var best Key
@@ -306,6 +324,9 @@
 		return
 	}
 	*average += time.Duration(learnRate * float64(took-*average))
+	if !s.warm {
+		b.fastest = min(b.fastest, took)
+	}
 }
 
 // conflict takes in that the engine's count is another one. After an order without an answer it may
