--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -238,14 +238,14 @@
 		w.s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "report_failed", "endpoint": w.endpoint.ID}).Warn()
 		return
 	}
-	ok := w.books.Sync(report, now)
-	if ok && w.habits != nil {
+	w.books.Sync(report, now)
+	if w.habits != nil {
 		w.books.Adopt(*w.habits, now)
 		w.habits = nil
 	}
 	w.s.cfg.Log.WithFields(logrus.Fields{
 		"event": "books_synced", "endpoint": w.endpoint.ID, "accepted": report.Accepted,
-		"held": len(report.Loaded), "pending": len(report.Pending), "used": ok,
+		"held": len(report.Loaded), "pending": len(report.Pending),
 	}).Info()
 	w.serve(now)
 }
--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -106,7 +106,9 @@
 	// accepted is the engine's count of orders. ahead says that it may be one more.
 	accepted int64
 	ahead    bool
-	synced   bool
+	// synced says that a report was read. doubted says that the books have proved wrong since: no order
+	// is given before the next report, but what is held is still used.
+	synced, doubted bool
 	// syncAt is when a report may be read that shows all orders.
 	syncAt time.Time
 	// base is the engine's base model.
@@ -126,13 +128,9 @@
 	}
 }
 
-// Sync takes in a report that was read at now. It reports false for one that is older than what the
-// books know.
-func (b *Books) Sync(r engine.Report, now time.Time) bool {
-	if b.synced && r.Accepted < b.accepted {
-		b.syncAt = now.Add(settle)
-		return false
-	}
+// Sync takes in a report that was read at now, when no order had been given for as long as a report may lag
+// behind.
+func (b *Books) Sync(r engine.Report, now time.Time) {
 	old := b.slots
 	b.slots = map[Key]*slot{}
 	for _, a := range r.Loaded {
@@ -145,8 +143,7 @@
 	if slices.Contains(r.Models, b.cfg.Model) {
 		b.base.state = loaded
 	}
-	b.accepted, b.ahead, b.synced = r.Accepted, false, true
-	return true
+	b.accepted, b.ahead, b.synced, b.doubted = r.Accepted, false, true, false
 }
 
 func (b *Books) adopt(a roster.Adapter, st state, old map[Key]*slot, now time.Time) {
@@ -163,9 +160,10 @@
 // Ready reports whether the engine can run requests.
 func (b *Books) Ready() bool { return b.synced && b.base.state == loaded }
 
-// Forget makes the books wait for a report.
-func (b *Books) Forget(now time.Time) {
-	b.synced = false
+// Doubt makes the books wait for a report before the next order. What the engine is known to hold is used
+// meanwhile.
+func (b *Books) Doubt(now time.Time) {
+	b.doubted = true
 	b.syncAt = now.Add(settle)
 }
 
@@ -218,7 +216,8 @@
 // Missing takes in that the engine has rejected a request for an adapter that the books say it holds.
 func (b *Books) Missing(key Key, now time.Time) {
 	if s := b.slots[key]; s != nil && s.state == loaded {
-		b.Forget(now)
+		delete(b.slots, key)
+		b.Doubt(now)
 	}
 }
 
--- a/pkg/residency/books_test.go
+++ b/pkg/residency/books_test.go
@@ -101,10 +101,10 @@
 		Newest: func(residency.Key) int { return newest },
 	})
 	now := time.Unix(1_700_000_000, 0)
-	require.True(t, b.Sync(engine.Report{
+	b.Sync(engine.Report{
 		Accepted: 3, Models: []string{baseModel},
 		Loaded: []roster.Adapter{{Model: baseModel, Name: "a", Version: 1}},
-	}, now))
+	}, now)
 	_, ok := b.Hold(key("a"), now)
 	require.True(t, ok)
 	newest = 2
@@ -148,7 +148,7 @@
 			k.books.Unwant(key(name))
 			if i%50 == 49 {
 				k.engine.restart()
-				k.books.Forget(k.now)
+				k.books.Doubt(k.now)
 			}
 		}
 		require.False(t, k.engine.overfull, "seed %d", seed)
--- a/pkg/residency/next.go
+++ b/pkg/residency/next.go
@@ -38,7 +38,7 @@
 // Next returns the next call to make. If there is none, it returns when there may be one, zero if
 // only a new request can bring one.
 func (b *Books) Next(now time.Time) (Action, bool, time.Time) {
-	if !b.synced {
+	if !b.synced || b.doubted {
 		if now.Before(b.syncAt) {
 			return Action{}, false, b.syncAt
 		}
@@ -220,7 +220,7 @@
 	case engine.Busy:
 		b.postpone(a, now)
 	default:
-		b.Forget(now)
+		b.Doubt(now)
 	}
 }
 
@@ -274,9 +274,13 @@
 
 // firstPoll returns how long after an order the first question for its end follows.
 func (b *Books) firstPoll(key Key, s *slot) time.Duration {
-	expected := b.expected(s.warm)
-	if key.Name == "" {
+	// The average may lag behind: a load can be as fast as the fastest has been.
+	expected := b.fastest
+	switch {
+	case key.Name == "":
 		expected = b.cfg.ModelLoad
+	case s.warm:
+		expected = min(b.quick, firstWarm)
 	}
 	return time.Duration(earlyPoll * float64(expected))
 }
@@ -338,7 +342,7 @@
 		s.poll = now
 		return
 	}
-	b.Forget(now)
+	b.Doubt(now)
 }
 
 // postpone asks again a little later.
