Do not give up a claim under way for the heartbeats of the holder before

Change: only rights that are held yield. Test: a slow table, a holder whose store is down; it failed 3 of 3 times (number 3072), and passes now (2048).

--- a/pkg/dispatch/owners.go
+++ b/pkg/dispatch/owners.go
@@ -17,8 +17,9 @@
 	askTimeout = 120 * time.Millisecond
 	// mistrust is how long a VM that has not answered is not asked.
 	mistrust = 500 * time.Millisecond
-	// noticePause is the time between two passes in which notices are sent to owners.
-	noticePause = 100 * time.Millisecond
+	// noticePause is the time between two passes in which notices are sent to owners. An adapter keeps its
+	// place until its owner knows that it is no longer in use.
+	noticePause = 25 * time.Millisecond
 	// maxNotices bounds the notices held for one owner; what goes beyond is dropped, and the owner
 	// frees these permits by their time.
 	maxNotices = 512
@@ -77,6 +78,8 @@
 	ctx, cancel := context.WithTimeout(ctx, orders.MaxWait+askTimeout)
 	defer cancel()
 	if err := o.caller.Call(ctx, address, orders.AcquireMethod, args, &reply); err != nil {
+		// The owner may have granted the place, or may be about to.
+		o.notify(address, orders.Notice{Permit: args.Permit, Ended: true})
 		o.mu.Lock()
 		o.mistrust[address] = time.Now().Add(mistrust)
 		o.mu.Unlock()
--- a/pkg/fleettest/table.go
+++ b/pkg/fleettest/table.go
@@ -31,6 +31,8 @@
 	Down bool
 	// LoseReplies is the share of commits that take effect and whose reply is lost.
 	LoseReplies float64
+	// Latency is added to every call.
+	Latency time.Duration
 	// DelayWrites is the share of commits that take effect long after the caller has given up.
 	DelayWrites float64
 }
@@ -83,15 +85,15 @@
 
 // fate is what becomes of one call.
 type fate struct {
-	down, lose bool
-	delay      time.Duration
+	down, lose     bool
+	delay, latency time.Duration
 }
 
 func (t *Table) draw(vm string) fate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	faults := t.faults[vm]
-	f := fate{down: t.down || faults.Down}
+	f := fate{down: t.down || faults.Down, latency: faults.Latency}
 	f.lose = t.rnd.Float64() < faults.LoseReplies
 	if t.rnd.Float64() < faults.DelayWrites {
 		f.delay = time.Duration(t.rnd.Int63n(int64(tableDelayLimit)))
@@ -120,9 +122,11 @@
 	c.gate.Pass()
 	defer c.gate.Pass()
 	time.Sleep(tableLatency)
-	if c.table.draw(c.vm).down {
+	f := c.table.draw(c.vm)
+	if f.down {
 		return nil, platform.ErrUnavailable
 	}
+	time.Sleep(f.latency)
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	c.table.reads++
@@ -142,6 +146,7 @@
 	defer c.gate.Pass()
 	time.Sleep(tableLatency)
 	f := c.table.draw(c.vm)
+	time.Sleep(f.latency)
 	switch {
 	case f.down:
 		return 0, platform.ErrUnavailable
--- a/pkg/lease/guard.go
+++ b/pkg/lease/guard.go
@@ -88,9 +88,13 @@
 	}
 }
 
-// yieldToClaims ends rights that a peer has a higher fencing number for. m.mu is held.
+// yieldToClaims ends rights that a peer has a higher fencing number for. A claim that is under way has no
+// number yet: the table decides on it. m.mu is held.
 func (m *Manager) yieldToClaims() {
 	for name, r := range m.rights {
+		if state := r.life.State(); state != stateHeld && state != stateProvisional {
+			continue
+		}
 		if m.highestClaim(name, true) > r.grant.Fencing {
 			m.lose(name, eventSuperseded, nil)
 		}
--- a/pkg/lease/manager_test.go
+++ b/pkg/lease/manager_test.go
@@ -230,3 +230,21 @@
 		}
 	})
 }
+
+// A claim that is under way while the holder's heartbeats still name the lease is not given up: the right
+// is good as soon as the table has granted it.
+func TestAClaimOutlastsTheHoldersHeartbeats(t *testing.T) {
+	runFleet(t, 8, 5, []string{lease.Budget}, func(f *fleet) {
+		first := f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(20 * time.Second)
+		for _, v := range f.VMs() {
+			f.Table.SetFaults(v.ID, fleettest.TableFaults{Latency: 2 * lease.DefaultGuardInterval})
+		}
+		f.Table.SetFaults(first.ID, fleettest.TableFaults{Down: true})
+		time.Sleep(lease.DefaultDuration)
+		second := f.holder(lease.Budget, takeoverLimit)
+		require.NotEqual(f.t, first.ID, second.ID)
+		grant, _ := second.Manager.Held(lease.Budget)
+		require.EqualValues(f.t, 2*1024, grant.Fencing, "claimed once")
+	})
+}
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -230,11 +230,14 @@
 		workers = append(workers, w)
 	}
 	s.mu.Unlock()
+	now := time.Now()
 	for _, n := range notices {
+		known := slices.ContainsFunc(workers, func(w *worker) bool { return w.notice(incarnation, n) })
+		if known || !n.Ended {
+			continue
+		}
 		for _, w := range workers {
-			if w.notice(incarnation, n) {
-				break
-			}
+			w.cancelPermit(permitKey{incarnation, n.Permit}, now)
 		}
 	}
 }
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -53,8 +53,13 @@
 	books   *residency.Books
 	load    load
 	waiters map[residency.Key][]*waiter
-	trip    time.Duration
-	losses  int
+	// cancelled are permits that have ended before they were granted, with the time until when that is
+	// remembered.
+	cancelled map[permitKey]time.Time
+	// loggedAt is when the state of the engine was logged last.
+	loggedAt time.Time
+	trip     time.Duration
+	losses   int
 	// habits are what the VM before has told, until the books are synced.
 	habits *residency.Habits
 	// backoff is how long the engine is left alone after the next failure to reach it; downUntil is when
@@ -83,10 +88,11 @@
 			WarmCount:  residency.DefaultWarmCount,
 			Newest:     s.cfg.Newest,
 		}),
-		load:    newLoad(spec.CacheTokens),
-		waiters: map[residency.Key][]*waiter{},
-		model:   spec.Model,
-		trip:    firstTrip,
+		load:      newLoad(spec.CacheTokens),
+		waiters:   map[residency.Key][]*waiter{},
+		cancelled: map[permitKey]time.Time{},
+		model:     spec.Model,
+		trip:      firstTrip,
 	}
 }
 
@@ -104,6 +110,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		w.mu.Lock()
+		w.logState(now)
 		w.expire(now)
 		action, ok, due := w.books.Next(now)
 		if now.Before(w.downUntil) {
@@ -121,6 +128,21 @@
 	}
 }
 
+// logState logs the state of the engine once in a while. w.mu is held.
+func (w *worker) logState(now time.Time) {
+	if now.Sub(w.loggedAt) < idleCheck {
+		return
+	}
+	w.loggedAt = now
+	sum := w.books.Summary()
+	w.s.cfg.Log.WithFields(logrus.Fields{
+		"event": "engine_state", "endpoint": w.endpoint.ID, "held": sum.Held, "in_use": sum.InUse,
+		"loading": sum.Loading, "wanted": sum.Wanted, "load_time": sum.Cold.Round(time.Millisecond),
+		"requests": w.load.running, "unread": w.load.pending, "token_time": w.load.perTok,
+		"ready": w.books.Ready(), "down": !w.downUntil.IsZero(),
+	}).Debug()
+}
+
 func (w *worker) sleep(ctx context.Context, now, due time.Time) {
 	wait := idleCheck
 	if !due.IsZero() {
@@ -298,8 +320,20 @@
 	}
 }
 
+// cancelPermit remembers that a permit has ended before it was granted.
+func (w *worker) cancelPermit(key permitKey, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancelled[key] = now.Add(2 * MaxWait)
+}
+
 // expire drops the permits whose requests must have ended. w.mu is held.
 func (w *worker) expire(now time.Time) {
+	for key, until := range w.cancelled {
+		if now.After(until) {
+			delete(w.cancelled, key)
+		}
+	}
 	for _, key := range w.load.expired(now) {
 		w.end(key, now)
 	}
@@ -394,7 +428,7 @@
 func (w *worker) letThrough(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
 	unread := w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
 	reply := AcquireReply{Status: Granted, Estimate: w.load.estimate(unread)}
-	if !w.books.Ready() {
+	if _, gone := w.cancelled[permitKey{args.Incarnation, args.Permit}]; gone || !w.books.Ready() {
 		return AcquireReply{}, false
 	}
 	if args.Adapter != "" {
--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -263,12 +263,31 @@
 
 // Count returns the adapters held and those on their way.
 func (b *Books) Count() (held, underWay int) {
+	s := b.Summary()
+	return s.Held, s.Loading
+}
+
+// Summary is the state of the books in numbers.
+type Summary struct {
+	// Held are the adapters that the engine holds, InUse those of them that requests use; Loading are on
+	// their way, Wanted those that requests wait for.
+	Held, InUse, Loading, Wanted int
+	// Cold is the time that a load takes.
+	Cold time.Duration
+}
+
+// Summary returns the state of the books in numbers.
+func (b *Books) Summary() Summary {
+	sum := Summary{Wanted: len(b.wants), Cold: b.cold}
 	for _, s := range b.slots {
 		if s.state == loading {
-			underWay++
-		} else {
-			held++
+			sum.Loading++
+			continue
+		}
+		sum.Held++
+		if s.users > 0 {
+			sum.InUse++
 		}
 	}
-	return held, underWay
+	return sum
 }
