--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -196,7 +196,7 @@
 	}
 	g := rules.Bundle.Groups[group]
 	return orders.Spec{
-		Places: g.Engine.MaxAdapters, CacheTokens: g.Engine.CacheTokens, Model: g.Model, ModelLoad: g.Engine.ModelLoad,
+		Places: g.Engine.MaxAdapters, Slots: g.Engine.Slots, CacheTokens: g.Engine.CacheTokens, Model: g.Model, ModelLoad: g.Engine.ModelLoad,
 	}, true
 }
 
--- a/pkg/orders/load.go
+++ b/pkg/orders/load.go
@@ -16,6 +16,10 @@
 	maxTokenTime = 500 * time.Microsecond
 	// baseTime is the time to the first token of an empty prompt at an idle engine.
 	baseTime = 15 * time.Millisecond
+	// crowdedShare is the part of an engine's slots from which further requests slow the others down, and
+	// crowdedTime the time that this adds when all slots are taken.
+	crowdedShare = 0.4
+	crowdedTime  = 250 * time.Millisecond
 	// permitGrace is how long after a request's time is over its permit is dropped without a notice.
 	permitGrace = 500 * time.Millisecond
 )
@@ -43,17 +47,27 @@
 	// pending are the prompt tokens of requests that have not begun.
 	pending int
 	running int
+	slots   int
 	perTok  time.Duration
 	cache   promptCache
 }
 
-func newLoad(capacity int) load {
-	return load{permits: map[permitKey]*permit{}, perTok: firstTokenTime, cache: newPromptCache(capacity)}
+func newLoad(slots, capacity int) load {
+	return load{permits: map[permitKey]*permit{}, slots: slots, perTok: firstTokenTime, cache: newPromptCache(capacity)}
 }
 
 // estimate returns the expected time to the first token of a request with that many tokens to read.
 func (l *load) estimate(tokens int) time.Duration {
-	return baseTime + time.Duration(l.pending+tokens)*l.perTok
+	return baseTime + time.Duration(l.pending+tokens)*l.perTok + l.crowding()
+}
+
+// crowding returns the time that requests beyond a share of the slots add.
+func (l *load) crowding() time.Duration {
+	if l.slots == 0 {
+		return 0
+	}
+	beyond := float64(l.running)/float64(l.slots) - crowdedShare
+	return time.Duration(max(beyond, 0) / (1 - crowdedShare) * float64(crowdedTime))
 }
 
 // add notes a request that is let through.
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -45,6 +45,8 @@
 type Spec struct {
 	// Places is the number of adapters that an engine holds at once.
 	Places int
+	// Slots is the number of requests that an engine runs at once.
+	Slots int
 	// CacheTokens is an engine's memory for prompts, in tokens.
 	CacheTokens int
 	// Model is the base model, ModelLoad the time that it takes to load.
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -88,7 +88,7 @@
 			WarmCount:  residency.DefaultWarmCount,
 			Newest:     s.cfg.Newest,
 		}),
-		load:      newLoad(spec.CacheTokens),
+		load:      newLoad(spec.Slots, spec.CacheTokens),
 		waiters:   map[residency.Key][]*waiter{},
 		cancelled: map[permitKey]time.Time{},
 		model:     spec.Model,
--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -243,7 +243,7 @@
 	}
 	ahead := 0
 	for other := range b.wants {
-		if s := b.slots[other]; other != key && (s == nil || s.state != loading) {
+		if other != key && b.missing(other) {
 			ahead++
 		}
 	}
--- a/pkg/residency/books_test.go
+++ b/pkg/residency/books_test.go
@@ -202,3 +202,46 @@
 	k.run(k.now.Add(time.Second))
 	require.True(t, k.books.Loaded(key("a")), "loaded again, as it is still wanted")
 }
+
+// An adapter that the engine kept from a time before the books loads quickly: that says nothing of the
+// weight store, and does not hold other loads back.
+func TestAQuickLoadDoesNotHoldOthersBack(t *testing.T) {
+	k := newKeeper(1)
+	k.engine.held["kept"] = true
+	k.books.Want(key("kept"), 0, k.now)
+	k.run(k.now.Add(time.Second))
+	k.books.Unwant(key("kept"))
+	require.True(t, k.books.Loaded(key("kept")))
+	for i := range 3 {
+		k.books.Want(key(fmt.Sprintf("a%d", i)), 0, k.now)
+	}
+	k.run(k.now.Add(coldLoad - 50*time.Millisecond))
+	_, underWay := k.books.Count()
+	require.Equal(t, 3, underWay)
+}
+
+// Loads that slow each other down are made one after the other.
+func TestSlowLoadsAreHeldBack(t *testing.T) {
+	k := newKeeper(1)
+	k.engine.slowdown = 3
+	for i := range 30 {
+		name := fmt.Sprintf("a%d", i)
+		k.books.Want(key(name), 0, k.now)
+		k.run(k.now.Add(900 * time.Millisecond))
+		k.books.Unwant(key(name))
+	}
+	for i := range 3 {
+		k.books.Want(key(fmt.Sprintf("b%d", i)), 0, k.now)
+	}
+	k.run(k.now.Add(coldLoad))
+	_, underWay := k.books.Count()
+	require.Equal(t, 1, underWay)
+	k.engine.slowdown = 1
+	for i := range 30 {
+		name := fmt.Sprintf("c%d", i)
+		k.books.Want(key(name), 0, k.now)
+		k.run(k.now.Add(900 * time.Millisecond))
+		k.books.Unwant(key(name))
+	}
+	require.Less(t, k.books.Delay(key("new"), k.now), coldLoad+50*time.Millisecond)
+}
--- a/pkg/residency/model_test.go
+++ b/pkg/residency/model_test.go
@@ -33,6 +33,8 @@
 	held    map[string]bool
 	// late are orders without an answer that may still be carried out.
 	late []lateOrder
+	// slowdown is how many times longer cold loads take than at full speed.
+	slowdown int
 	// overfull says that the engine was ordered to hold more than it has places.
 	overfull bool
 }
@@ -44,7 +46,7 @@
 
 func newModelEngine(now time.Time) *modelEngine {
 	return &modelEngine{
-		now: now, model: true, loaded: map[string]bool{}, pending: map[string]time.Time{},
+		now: now, model: true, slowdown: 1, loaded: map[string]bool{}, pending: map[string]time.Time{},
 		leaving: map[string]bool{}, users: map[string]int{}, held: map[string]bool{},
 	}
 }
@@ -107,7 +109,7 @@
 		return engine.Conflict
 	}
 	e.accepted++
-	e.pending[name] = e.now.Add(coldLoad)
+	e.pending[name] = e.now.Add(time.Duration(e.slowdown) * coldLoad)
 	if e.held[name] {
 		e.pending[name] = e.now.Add(warmLoad)
 	}
--- a/pkg/residency/next.go
+++ b/pkg/residency/next.go
@@ -157,11 +157,7 @@
 	var best Key
 	var found *want
 	for key, w := range b.wants {
-		s := b.slots[key]
-		if key.Name == "" {
-			continue
-		}
-		if s != nil && (s.state != loaded || !b.stale(key, s)) {
+		if !b.missing(key) {
 			continue
 		}
 		if found == nil || w.before(found) {
@@ -171,6 +167,12 @@
 	return best, found != nil
 }
 
+// missing reports whether the adapter has to be loaded, and no order for it is under way.
+func (b *Books) missing(key Key) bool {
+	s := b.slots[key]
+	return key.Name != "" && (s == nil || s.state == loaded && b.stale(key, s))
+}
+
 // before reports whether the adapter is to be loaded before the other.
 func (w *want) before(other *want) bool {
 	if w.urgency != other.urgency {
@@ -320,6 +322,10 @@
 		return
 	}
 	took := now.Sub(s.ordered)
+	if !s.warm && took < b.fastest/2 {
+		// The engine had kept the adapter from a time before these books.
+		return
+	}
 	average := &b.cold
 	if s.warm {
 		average = &b.quick
