Try an engine that could not be reached again by reading its report

Requests for an engine that cannot be reached are turned away at once, so none waited for it and the work loop had no order to give: the engine stayed down for good. Found by the new test of the service over engines in virtual time. Ruled out: letting one request through as a probe, which would have to wait for the timeout of the call.

--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -112,13 +112,7 @@
 		w.mu.Lock()
 		w.logState(now)
 		w.expire(now)
-		action, ok, due := w.books.Next(now)
-		if now.Before(w.downUntil) {
-			ok, due = false, w.downUntil
-		}
-		if ok && action.Kind != residency.Report && now.Before(w.from) {
-			ok, due = false, w.from
-		}
+		action, ok, due := w.next(now)
 		w.mu.Unlock()
 		if ok {
 			w.act(ctx, action)
@@ -128,6 +122,19 @@
 	}
 }
 
+// next returns the call to make now, or when to look again. While the engine cannot be reached nobody waits
+// for it, so it is tried by reading its report. w.mu is held.
+func (w *worker) next(now time.Time) (residency.Action, bool, time.Time) {
+	if !w.downUntil.IsZero() {
+		return residency.Action{Kind: residency.Report}, !now.Before(w.downUntil), w.downUntil
+	}
+	action, ok, due := w.books.Next(now)
+	if ok && action.Kind != residency.Report && now.Before(w.from) {
+		return action, false, w.from
+	}
+	return action, ok, due
+}
+
 // logState logs the state of the engine once in a while. w.mu is held.
 func (w *worker) logState(now time.Time) {
 	if now.Sub(w.loggedAt) < idleCheck {
