--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -45,6 +45,10 @@
 	Excess bool
 	// RetryAfter is when Need tokens will be there, if Tokens is less.
 	RetryAfter time.Duration
+	// Used are the tokens that count within the window, Lent those that may be handed out within it, and
+	// Absent the share of the VMs that cannot tell what they have spent.
+	Used, Lent float64
+	Absent     float64
 }
 
 // account is what a home knows of one client account. It is not safe for concurrent use.
@@ -105,8 +109,12 @@
 	a.forget(now)
 	u := a.learn(req, now)
 	used := a.used(now)
-	room := int64(math.Floor(a.policy.lent(a.limit) - used))
-	reply := Reply{Tokens: a.choose(req, room), Excess: used >= a.policy.within(a.limit)}
+	lent := a.policy.lent(a.limit)
+	room := int64(math.Floor(lent - used))
+	reply := Reply{
+		Tokens: a.choose(req, room), Excess: used >= a.policy.within(a.limit),
+		Used: used, Lent: lent, Absent: a.absent,
+	}
 	if reply.Tokens < req.Need {
 		reply.RetryAfter = a.retry(req.Need - max(room, 0))
 	}
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/peer"
@@ -42,6 +47,7 @@
 	Lessor     lease.Lessor
 	Fleet      Fleet
 	Caller     peer.Caller
+	Log        logrus.FieldLogger
 }
 
 // Holder is a VM's side of the limits: it spends the tokens that the homes have handed out.
@@ -73,6 +79,38 @@
 	}
 }
 
+// AccountState is what a VM knows of a client account's limit.
+type AccountState struct {
+	Account string `json:"account"`
+	// Held are the tokens that the VM may still spend, Spent those that it has spent within the window.
+	Held  int64 `json:"held"`
+	Spent int64 `json:"spent"`
+	// Excess says that the account is beyond its limit, Homeless that its home does not answer.
+	Excess   bool `json:"excess"`
+	Homeless bool `json:"homeless"`
+	Waiting  int  `json:"waiting"`
+}
+
+// State returns what this VM knows of the accounts that have been used here, by name.
+func (h *Holder) State() []AccountState {
+	h.mu.Lock()
+	stocks := maps.Clone(h.stocks)
+	h.mu.Unlock()
+	now := time.Now()
+	states := make([]AccountState, 0, len(stocks))
+	for _, name := range slices.Sorted(maps.Keys(stocks)) {
+		s := stocks[name]
+		s.mu.Lock()
+		s.expire(now)
+		states = append(states, AccountState{
+			Account: name, Held: s.tokens, Spent: s.spent.sum(now), Excess: s.excess,
+			Homeless: s.homeless, Waiting: len(s.waiters),
+		})
+		s.mu.Unlock()
+	}
+	return states
+}
+
 // covers returns the span for which this VM knows what it has spent.
 func (h *Holder) covers(now time.Time) time.Duration {
 	window := h.cfg.Policy.Window + binWidth
@@ -97,9 +135,11 @@
 	strandedAt time.Time
 	demand     float64
 	demandAt   time.Time
-	asking     bool
-	pausedTo   time.Time
-	waiters    []*waiter
+	// homeless says that the account's home did not answer when it was last asked.
+	homeless bool
+	asking   bool
+	pausedTo time.Time
+	waiters  []*waiter
 }
 
 // waiter is a request that waits for tokens.
@@ -228,10 +268,11 @@
 		req := s.request(account, sent)
 		s.mu.Unlock()
 		req.VM, req.Incarnation, req.Covers = h.cfg.Self, h.cfg.Incarnation, h.covers(sent)
-		reply, ok := h.call(req)
+		reply, err := h.call(req)
 		now := time.Now()
 		s.mu.Lock()
-		if ok {
+		h.logHome(account, s, err)
+		if err == nil {
 			s.accept(req, reply, sent, now)
 		} else {
 			s.pausedTo = now.Add(retryPause)
@@ -246,6 +287,19 @@
 	}
 }
 
+// logHome logs that the account's home no longer answers, or does again. s.mu is held.
+func (h *Holder) logHome(account string, s *stock, err error) {
+	if lost := err != nil; lost == s.homeless {
+		return
+	}
+	s.homeless = err != nil
+	if s.homeless {
+		h.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "account_home_lost", "account": account, "held": s.tokens}).Warn()
+		return
+	}
+	h.cfg.Log.WithFields(logrus.Fields{"event": "account_home_back", "account": account}).Info()
+}
+
 // request states what the waiters need, and what the stock lacks. s.mu is held.
 func (s *stock) request(account string, now time.Time) Request {
 	need := int64(0)
@@ -273,7 +327,9 @@
 		return
 	}
 	for len(s.waiters) > 0 && s.waiters[0].tokens > s.tokens {
-		over := result.New(result.OverRate, "the client account is over its limit")
+		over := result.New(result.OverRate, fmt.Sprintf(
+			"the client account is over its limit: %d tokens needed, %d held, %.0f of %.0f used within the window, %.2f of the VMs not counted",
+			s.waiters[0].tokens, s.tokens, reply.Used, reply.Lent, reply.Absent))
 		over.RetryAfter = reply.RetryAfter
 		s.answer(verdict{err: over})
 		s.serve(now)
@@ -331,21 +387,33 @@
 	return e
 }
 
+// Reasons why an account's home cannot be asked.
+var (
+	errNoHome  = errors.New("no VM holds the lease of the account")
+	errNotHome = errors.New("the VM that was asked does not hold the lease of the account")
+)
+
 // call asks the account's home, which may be this VM.
-func (h *Holder) call(req Request) (Reply, bool) {
+func (h *Holder) call(req Request) (Reply, error) {
 	holder, ok := h.cfg.Lessor.HolderOf(lease.AccountPrefix + req.Account)
 	if !ok {
-		return Reply{}, false
+		return Reply{}, errNoHome
 	}
 	if holder.VM == h.cfg.Self {
-		reply := h.cfg.Home.Settle(req)
-		return reply, !reply.NotHome
+		return answered(h.cfg.Home.Settle(req))
 	}
 	ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
 	defer cancel()
 	var reply Reply
 	if err := h.cfg.Caller.Call(ctx, holder.Address, settleMethod, &req, &reply); err != nil {
-		return Reply{}, false
+		return Reply{}, err
+	}
+	return answered(reply)
+}
+
+func answered(reply Reply) (Reply, error) {
+	if reply.NotHome {
+		return Reply{}, errNotHome
 	}
-	return reply, !reply.NotHome
+	return reply, nil
 }
--- /dev/null
+++ b/pkg/callers/limit_test.go
@@ -0,0 +1,63 @@
+package callers
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+)
+
+func TestLimit(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	registry := metrics.NewRegistry()
+	l := Limit(inner, 1, registry)
+	defer l.Close()
+	accepted := make(chan net.Conn, 3)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	dial()
+	first := <-accepted
+	_, err = dial().Read(make([]byte, 1))
+	require.Error(t, err, "the second is closed at once")
+	require.Equal(t, int64(1), metrics.GetOrRegisterCounter(MetricConnectionsRefused, registry).Count())
+	first.Close()
+	first.Close()
+	dial()
+	<-accepted
+}
+
+func TestConnectionsBeyondTheLimitAreClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	registry := metrics.NewRegistry()
+	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(Limit(l, 2, registry)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	first, second := dial(t, l.Addr().String()), dial(t, l.Addr().String())
+	ask(t, first)
+	ask(t, second)
+	requireClosed(t, dial(t, l.Addr().String()))
+	require.EqualValues(t, 1, metrics.GetOrRegisterCounter(MetricConnectionsRefused, registry).Count())
+	_ = first.Close()
+	require.Eventually(t, func() bool {
+		return metrics.GetOrRegisterGauge(MetricConnections, registry).Value() == 1
+	}, 5*time.Second, time.Millisecond)
+	ask(t, dial(t, l.Addr().String()))
+}
--- a/pkg/daemon/command/command.go
+++ b/pkg/daemon/command/command.go
@@ -106,7 +106,7 @@
 			if alone {
 				return runStandalone(cmd, opts)
 			}
-			return runDaemon(path)
+			return runDaemon(path, cmd.OutOrStdout())
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file")
@@ -124,9 +124,11 @@
 		Use:   "gateway",
 		Short: "Run on the users' platform until SIGTERM, dispatching requests directly to endpoints",
 		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
 			signals := notify()
-			signal.Ignore(syscall.SIGHUP)
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			opts.Log = cmd.OutOrStdout()
 			d, err := platform.New(opts)
 			if err != nil {
 				return err
@@ -134,6 +136,11 @@
 			if err := d.Start(context.Background()); err != nil {
 				return err
 			}
+			go func() {
+				for range hangups {
+					d.Reload()
+				}
+			}()
 			return untilSignal(d, signals)
 		},
 	}
@@ -147,12 +154,12 @@
 	Stop(ctx context.Context) error
 }
 
-func runDaemon(path string) error {
+func runDaemon(path string, out io.Writer) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(s)
+	d, err := daemon.New(s, out)
 	if err != nil {
 		return err
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,11 +44,12 @@
 	process   *process
 }
 
-// New builds a daemon and binds its listeners. Nothing runs until Start.
-func New(s settings.Settings) (*Daemon, error) {
+// New builds a daemon that logs to out, and binds its listeners. Nothing runs until Start.
+func New(s settings.Settings, out io.Writer) (*Daemon, error) {
 	d := &Daemon{}
 	d.app = fx.New(
 		fx.Supply(s),
+		fx.Provide(func() io.Writer { return out }),
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.Timeouts.BalancerWait+s.Timeouts.Drain+stopGrace),
--- a/pkg/daemon/identity.go
+++ b/pkg/daemon/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"io"
 	"net"
 	"time"
 
@@ -11,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"github.com/mallowlink/mallowlink/pkg/certs"
+	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/membership"
 	"github.com/mallowlink/mallowlink/pkg/peer"
 	"github.com/mallowlink/mallowlink/pkg/settings"
@@ -72,24 +74,14 @@
 	}
 }
 
-// newLogger writes one line of key=value pairs per event.
-func newLogger(s settings.Settings) (logrus.FieldLogger, error) {
-	log := logrus.New()
+// newLogger returns the log, and the logger that adds the VM to each line.
+func newLogger(s settings.Settings, out io.Writer, registry metrics.Registry) (*eventlog.Log, logrus.FieldLogger, error) {
 	level, err := logrus.ParseLevel(s.Log.Level)
 	if err != nil {
-		return nil, errors.Wrap(err, "log level")
+		return nil, nil, errors.Wrap(err, "log level")
 	}
-	log.SetLevel(level)
-	if s.Log.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	} else {
-		log.SetFormatter(&logrus.TextFormatter{
-			DisableColors:   true,
-			FullTimestamp:   true,
-			TimestampFormat: time.RFC3339Nano,
-		})
-	}
-	return log.WithField("vm", s.VM.ID), nil
+	log := eventlog.New(out, eventlog.Options{Level: level, JSON: s.Log.Format == "json", Metrics: registry})
+	return log, log.WithField("vm", s.VM.ID), nil
 }
 
 func newMetrics() metrics.Registry { return metrics.NewRegistry() }
--- a/pkg/daemon/process.go
+++ b/pkg/daemon/process.go
@@ -14,7 +14,9 @@
 	"go.uber.org/fx"
 
 	"github.com/mallowlink/mallowlink/pkg/bundle/rollout"
+	"github.com/mallowlink/mallowlink/pkg/callers"
 	"github.com/mallowlink/mallowlink/pkg/entry"
+	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/ledger"
 	"github.com/mallowlink/mallowlink/pkg/membership"
@@ -30,6 +32,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// handOverTimeout bounds the wait for the table to take a stopping VM's leases back.
 	handOverTimeout = 5 * time.Second
+	// logFlush bounds the wait for the last lines of the log.
+	logFlush = 200 * time.Millisecond
 	// adminHeaderTimeout bounds the header of an operator's request.
 	adminHeaderTimeout = 5 * time.Second
 )
@@ -41,6 +45,7 @@
 	Settings  settings.Settings
 	Identity  identity
 	Log       logrus.FieldLogger
+	Lines     *eventlog.Log
 	Metrics   metrics.Registry
 	Listeners *listeners
 	Base      background
@@ -129,7 +134,7 @@
 }
 
 func (p *process) serveCallers() error {
-	limited := entry.LimitListener(p.parts.Listeners.Callers, p.parts.Settings.Limits.Connections, p.parts.Metrics)
+	limited := callers.Limit(p.parts.Listeners.Callers, p.parts.Settings.Limits.Connections, p.parts.Metrics)
 	if p.callers.TLSConfig != nil {
 		return p.callers.ServeTLS(limited, "", "")
 	}
@@ -239,4 +244,5 @@
 	p.parts.Server.Close()
 	p.loops.Wait()
 	p.parts.Log.WithField("event", "stopped").Info("")
+	p.parts.Lines.Close(logFlush)
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	Orders        *orders.Service
 	Leases        lease.Lessor
 	Caller        peer.Caller
+	// RosterAge returns how old the list of endpoints may be.
+	RosterAge func() time.Duration
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
 	Newest  func(residency.Key) int
 	Metrics metrics.Registry
@@ -47,9 +49,9 @@
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg:        cfg,
-		conditions: newConditions(),
+		conditions: newConditions(cfg.Log),
 		memory:     newMemory(),
-		owners:     newOwners(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.Caller),
+		owners:     newOwners(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.Caller, cfg.Log),
 	}
 }
 
@@ -89,12 +91,21 @@
 		return gateway.Place{}, result.New(result.NoEndpoint, "no endpoint takes requests for the route")
 	}
 	if w.Group.Engine == nil {
-		e := d.conditions.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
+		e, cost := d.conditions.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
+		d.logPlaced(w, e, logrus.Fields{"by": "least_cost", "cost": cost.Round(time.Microsecond), "candidates": len(candidates)})
 		return d.place(e, 0, func(orders.Notice) {}), nil
 	}
 	return d.placeAtEngine(ctx, w, candidates)
 }
 
+// logPlaced writes the line of a request that goes to an endpoint, with what has decided it.
+func (d *Dispatcher) logPlaced(w gateway.Work, e roster.Endpoint, why logrus.Fields) {
+	d.cfg.Log.WithFields(why).WithFields(logrus.Fields{
+		"event": "placed", "id": w.ID, "endpoint": e.ID, "started": e.Started,
+		"list_age": d.cfg.RosterAge().Round(time.Millisecond),
+	}).Info()
+}
+
 // place returns a place and notes the request that goes there.
 func (d *Dispatcher) place(e roster.Endpoint, version int, notify func(orders.Notice)) gateway.Place {
 	d.conditions.mu.Lock()
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/residency"
@@ -93,7 +95,7 @@
 	if len(s.offers) == 0 {
 		// No owner can be reached. An engine that does not hold the adapter says so without running the
 		// request.
-		return d.placeBlindly(w, ranked[0]), nil
+		return s.placeBlindly(ranked[0]), nil
 	}
 	return gateway.Place{}, s.refusal()
 }
@@ -118,6 +120,7 @@
 func (s *search) try(ctx context.Context, e roster.Endpoint) (gateway.Place, bool) {
 	place, reply, ok := s.d.ask(ctx, s.w, e, bounds{s.share(easyShare), s.share(loadShare)}, s.giveUp)
 	if ok {
+		s.logGranted(e, reply)
 		return place, true
 	}
 	s.answers = append(s.answers, describe(e, reply))
@@ -125,7 +128,7 @@
 	case orders.Offered, orders.Waiting:
 		s.offers = append(s.offers, offer{e, reply.Estimate, reply.Delay})
 	case orders.NotOwner:
-		return s.d.placeWhereFound(s.w, e)
+		return s.placeWhereFound(e)
 	}
 	return gateway.Place{}, false
 }
@@ -154,8 +157,18 @@
 	place, reply, ok := s.d.ask(ctx, s.w, best.endpoint, limits, s.giveUp)
 	if !ok {
 		s.answers = append(s.answers, describe(best.endpoint, reply))
+		return gateway.Place{}, false
 	}
-	return place, ok
+	s.logGranted(best.endpoint, reply)
+	return place, true
+}
+
+// logGranted writes the line of a request that an owner has let through.
+func (s *search) logGranted(e roster.Endpoint, reply orders.AcquireReply) {
+	s.d.logPlaced(s.w, e, logrus.Fields{
+		"by": "owner", "owner": reply.Owner, "version": reply.Version, "answers": strings.Join(s.answers, ","),
+		"estimate": reply.Estimate.Round(time.Millisecond), "waited": reply.Waited.Round(time.Millisecond),
+	})
 }
 
 // prefetch makes the home with the least work load the adapter if the one that the request goes to is
@@ -258,19 +271,26 @@
 
 // placeWhereFound returns a place without a permit at an engine whose owner cannot be reached, if requests
 // have found the adapter there lately. Nobody evicts adapters there meanwhile.
-func (d *Dispatcher) placeWhereFound(w gateway.Work, e roster.Endpoint) (gateway.Place, bool) {
-	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
-	version, found := d.memory.version(key, e.Incarnation, time.Now())
-	if w.Terms.Adapter != "" && (!found || version < d.cfg.Newest(key)) {
+func (s *search) placeWhereFound(e roster.Endpoint) (gateway.Place, bool) {
+	key := s.key()
+	found, ok := s.d.memory.version(key, e.Incarnation, time.Now())
+	if key.Name != "" && (!ok || found < s.d.cfg.Newest(key)) {
 		return gateway.Place{}, false
 	}
-	return d.placeUnowned(e, key, version), true
+	s.d.logPlaced(s.w, e, logrus.Fields{"by": "found_there", "version": found, "answers": strings.Join(s.answers, ",")})
+	return s.d.placeUnowned(e, key, found), true
 }
 
 // placeBlindly returns a place at an engine of which nothing is known.
-func (d *Dispatcher) placeBlindly(w gateway.Work, e roster.Endpoint) gateway.Place {
-	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
-	return d.placeUnowned(e, key, d.cfg.Newest(key))
+func (s *search) placeBlindly(e roster.Endpoint) gateway.Place {
+	key := s.key()
+	newest := s.d.cfg.Newest(key)
+	s.d.logPlaced(s.w, e, logrus.Fields{"by": "no_owner", "version": newest, "answers": strings.Join(s.answers, ",")})
+	return s.d.placeUnowned(e, key, newest)
+}
+
+func (s *search) key() residency.Key {
+	return residency.Key{Model: s.w.Terms.Model, Name: s.w.Terms.Adapter}
 }
 
 // placeUnowned returns a place without a permit.
--- a/pkg/dispatch/filter.go
+++ b/pkg/dispatch/filter.go
@@ -20,7 +20,7 @@
 	defer s.mu.Unlock()
 	fit := make([]roster.Endpoint, 0, len(open))
 	for _, e := range open {
-		if s.get(e.Incarnation).fit(now) {
+		if s.fit(e.Incarnation, now) {
 			fit = append(fit, e)
 		}
 	}
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
@@ -39,6 +41,8 @@
 	avoidUntil time.Time
 	latency    time.Duration
 	seen       time.Time
+	// avoided says that the endpoint was unfit when it was last looked at.
+	avoided bool
 }
 
 // share returns the decayed share of failures.
@@ -49,15 +53,44 @@
 	return c.failures * math.Exp2(-now.Sub(c.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
-// fit reports whether requests should go to the endpoint.
-func (c *condition) fit(now time.Time) bool {
-	if now.Before(c.avoidUntil) {
-		return false
+// Reasons to avoid an endpoint.
+const (
+	unreachable = "unreachable"
+	silent      = "silent"
+	failing     = "failing"
+)
+
+// unfit returns why requests should not go to the endpoint, empty if they may.
+func (c *condition) unfit(now time.Time) string {
+	switch {
+	case now.Before(c.avoidUntil):
+		return unreachable
+	case c.outstanding > 0 && now.Sub(c.quietSince) > silence:
+		return silent
+	case c.share(now) >= sickShare:
+		return failing
+	}
+	return ""
+}
+
+// fit reports whether requests should go to the endpoint. It logs when that has changed. s.mu is held.
+func (s *conditions) fit(id roster.Incarnation, now time.Time) bool {
+	c := s.get(id)
+	why := c.unfit(now)
+	if (why != "") == c.avoided {
+		return why == ""
 	}
-	if c.outstanding > 0 && now.Sub(c.quietSince) > silence {
-		return false
+	c.avoided = why != ""
+	entry := s.log.WithFields(logrus.Fields{
+		"endpoint": id.ID, "started": id.Started, "failures": c.share(now), "outstanding": c.outstanding,
+		"quiet": now.Sub(c.quietSince).Round(time.Millisecond),
+	})
+	if c.avoided {
+		entry.WithFields(logrus.Fields{"event": "endpoint_avoided", "why": why}).Warn()
+	} else {
+		entry.WithField("event", "endpoint_fit").Info()
 	}
-	return c.share(now) < sickShare
+	return !c.avoided
 }
 
 // sent notes a request that goes to the endpoint.
@@ -124,12 +157,14 @@
 
 // conditions are those of all endpoints. They are safe for concurrent use.
 type conditions struct {
+	log logrus.FieldLogger
+
 	mu   sync.Mutex
 	list map[roster.Incarnation]*condition // guarded by mu
 }
 
-func newConditions() *conditions {
-	return &conditions{list: map[roster.Incarnation]*condition{}}
+func newConditions(log logrus.FieldLogger) *conditions {
+	return &conditions{log: log, list: map[roster.Incarnation]*condition{}}
 }
 
 // get returns the condition of an endpoint. s.mu is held.
@@ -142,6 +177,31 @@
 	return c
 }
 
+// Condition is what a VM knows of an endpoint from its own requests.
+type Condition struct {
+	// Avoided says why requests do not go to the endpoint, empty if they do.
+	Avoided     string  `json:"avoided"`
+	Outstanding int     `json:"outstanding"`
+	Failures    float64 `json:"failures"`
+	// Latency is the time to the first part of an answer.
+	Latency string `json:"latency"`
+}
+
+// Condition returns what this VM knows of an endpoint.
+func (d *Dispatcher) Condition(id roster.Incarnation) Condition {
+	s, now := d.conditions, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.list[id]
+	if c == nil {
+		return Condition{}
+	}
+	return Condition{
+		Avoided: c.unfit(now), Outstanding: c.outstanding, Failures: c.share(now),
+		Latency: c.latency.Round(time.Millisecond).String(),
+	}
+}
+
 // forgetAfter is how long the condition of an unused endpoint is kept.
 const forgetAfter = time.Minute
 
--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
@@ -28,6 +30,29 @@
 	return names
 }
 
+func quiet() logrus.FieldLogger {
+	log, _ := test.NewNullLogger()
+	return log
+}
+
+// The log says when and why an endpoint is avoided, and when it no longer is.
+func TestConditionsAreLoggedWhenTheyChange(t *testing.T) {
+	log, lines := test.NewNullLogger()
+	s := newConditions(log)
+	for range 4 {
+		s.play("a", gateway.Outcome{Failed: true}, start)
+	}
+	for range 3 {
+		s.candidates(endpoints("a", "b"), nil, start)
+	}
+	require.Len(t, lines.Entries, 1)
+	require.Equal(t, "endpoint_avoided", lines.LastEntry().Data["event"])
+	require.Equal(t, failing, lines.LastEntry().Data["why"])
+	s.candidates(endpoints("a", "b"), nil, start.Add(10*time.Second))
+	require.Equal(t, "endpoint_fit", lines.LastEntry().Data["event"])
+	require.Len(t, lines.Entries, 2)
+}
+
 // play sends one request to an endpoint and notes its outcome.
 func (s *conditions) play(id string, o gateway.Outcome, now time.Time) {
 	c := s.get(roster.Incarnation{ID: id})
@@ -37,7 +62,7 @@
 
 // Endpoints that fail requests while their health is good are avoided, and tried again later.
 func TestFailingEndpointsAreAvoided(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	for range 4 {
 		s.play("a", gateway.Outcome{Failed: true}, start)
 		s.play("b", gateway.Outcome{First: 10 * time.Millisecond}, start)
@@ -48,7 +73,7 @@
 
 // When all endpoints fail, none is avoided.
 func TestAllEndpointsFail(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	for range 4 {
 		s.play("a", gateway.Outcome{Failed: true}, start)
 		s.play("b", gateway.Outcome{Failed: true}, start)
@@ -57,7 +82,7 @@
 }
 
 func TestAnUnreachableEndpointIsTriedAgainAfterABackoff(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	s.play("a", gateway.Outcome{Unreachable: true}, start)
 	require.Equal(t, []string{"b"}, ids(s.candidates(endpoints("a", "b"), nil, start)))
 	soon := start.Add(firstBackoff)
@@ -70,7 +95,7 @@
 
 // An endpoint that has requests and sends nothing for a while is avoided until it sends again.
 func TestASilentEndpointIsAvoided(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	c := s.get(roster.Incarnation{ID: "a"})
 	c.sent(start)
 	late := start.Add(silence + time.Millisecond)
@@ -80,7 +105,7 @@
 }
 
 func TestLeavingAndExcludedEndpointsAreLeftOut(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	list := endpoints("a", "b", "c")
 	list[0].Draining = true
 	require.Equal(t, []string{"c"}, ids(s.candidates(list, []string{"b"}, start)))
@@ -89,13 +114,13 @@
 
 // The work spreads by expected time: slower endpoints and those with more requests get fewer.
 func TestServiceSpreadsByExpectedTime(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	list := endpoints("fast", "slow")
 	s.play("fast", gateway.Outcome{First: 10 * time.Millisecond}, start)
 	s.play("slow", gateway.Outcome{First: 40 * time.Millisecond}, start)
 	counts := map[string]int{}
 	for range 10 {
-		e := s.pickService(list, "here", func(int) int { return 0 })
+		e, _ := s.pickService(list, "here", func(int) int { return 0 })
 		s.get(e.Incarnation).sent(start)
 		counts[e.ID]++
 	}
@@ -103,16 +128,18 @@
 }
 
 func TestServicePrefersItsFailureDomain(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	list := endpoints("far", "near")
 	list[0].FailureDomain = "there"
-	require.Equal(t, "near", s.pickService(list, "here", func(int) int { return 0 }).ID)
+	picked, _ := s.pickService(list, "here", func(int) int { return 0 })
+	require.Equal(t, "near", picked.ID)
 	s.get(list[1].Incarnation).sent(start)
-	require.Equal(t, "far", s.pickService(list, "here", func(int) int { return 0 }).ID)
+	picked, _ = s.pickService(list, "here", func(int) int { return 0 })
+	require.Equal(t, "far", picked.ID)
 }
 
 func TestSweepForgets(t *testing.T) {
-	s := newConditions()
+	s := newConditions(quiet())
 	s.play("a", gateway.Outcome{}, start)
 	s.get(roster.Incarnation{ID: "b"}).sent(start)
 	s.sweep(start.Add(2 * forgetAfter))
--- a/pkg/dispatch/owners.go
+++ b/pkg/dispatch/owners.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
@@ -32,6 +34,7 @@
 	local       *orders.Service
 	lessor      lease.Lessor
 	caller      peer.Caller
+	log         logrus.FieldLogger
 	permits     atomic.Uint64
 
 	mu sync.Mutex
@@ -41,9 +44,9 @@
 	mistrust map[string]time.Time       // by address
 }
 
-func newOwners(self, incarnation string, local *orders.Service, lessor lease.Lessor, caller peer.Caller) *owners {
+func newOwners(self, incarnation string, local *orders.Service, lessor lease.Lessor, caller peer.Caller, log logrus.FieldLogger) *owners {
 	return &owners{
-		self: self, incarnation: incarnation, local: local, lessor: lessor, caller: caller,
+		self: self, incarnation: incarnation, local: local, lessor: lessor, caller: caller, log: log,
 		notices: map[string][]orders.Notice{}, mistrust: map[string]time.Time{},
 	}
 }
@@ -80,14 +83,35 @@
 	if err := o.caller.Call(ctx, address, orders.AcquireMethod, args, &reply); err != nil {
 		// The owner may have granted the place, or may be about to.
 		o.notify(address, orders.Notice{Permit: args.Permit, Ended: true})
-		o.mu.Lock()
-		o.mistrust[address] = time.Now().Add(mistrust)
-		o.mu.Unlock()
+		o.silent(address, err)
 		return reply, false
 	}
+	o.answered(address)
 	return reply, true
 }
 
+// silent notes that a VM does not answer.
+func (o *owners) silent(address string, err error) {
+	o.mu.Lock()
+	_, known := o.mistrust[address]
+	o.mistrust[address] = time.Now().Add(mistrust)
+	o.mu.Unlock()
+	if !known {
+		o.log.WithError(err).WithFields(logrus.Fields{"event": "owner_lost", "address": address}).Warn()
+	}
+}
+
+// answered notes that a VM answers.
+func (o *owners) answered(address string) {
+	o.mu.Lock()
+	_, was := o.mistrust[address]
+	delete(o.mistrust, address)
+	o.mu.Unlock()
+	if was {
+		o.log.WithFields(logrus.Fields{"event": "owner_back", "address": address}).Info()
+	}
+}
+
 // notify keeps a notice for the next call to an owner.
 func (o *owners) notify(address string, n orders.Notice) {
 	o.mu.Lock()
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -11,8 +11,8 @@
 const distancePenalty = 1.25
 
 // pickService returns the candidate with the least expected time, among equals the one that random
-// selects.
-func (s *conditions) pickService(candidates []roster.Endpoint, domain string, random func(n int) int) roster.Endpoint {
+// selects. It returns that time, too.
+func (s *conditions) pickService(candidates []roster.Endpoint, domain string, random func(n int) int) (roster.Endpoint, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best roster.Endpoint
@@ -33,5 +33,5 @@
 			}
 		}
 	}
-	return best
+	return best, least
 }
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/request"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
@@ -167,7 +168,7 @@
 	if x == nil {
 		return nil, result.New(result.NoBundle, "no bundle is known yet")
 	}
-	if headerSize(r) > h.limits.MaxHeader {
+	if httpheader.Size(r) > h.limits.MaxHeader {
 		return nil, result.New(result.BadHeader, "the header is too large")
 	}
 	if clean := path.Clean(r.URL.Path); clean != r.URL.Path && clean+"/" != r.URL.Path {
@@ -202,16 +203,6 @@
 	return x
 }
 
-func headerSize(r *http.Request) int {
-	size := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return size
-}
-
 // requireAccount returns the error for a request without a valid key.
 func (x *exchange) requireAccount() *result.Error {
 	switch {
--- a/pkg/entry/limits.go
+++ b/pkg/entry/limits.go
@@ -3,13 +3,11 @@
 import (
 	"crypto/tls"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
@@ -148,7 +146,7 @@
 	}
 }
 
-// NewHTTPServer returns the server of the callers' connections. It is served on a LimitListener.
+// NewHTTPServer returns the server of the callers' connections. It is served on a listener of callers.Limit.
 func NewHTTPServer(h *Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           h,
@@ -160,52 +158,3 @@
 		ErrorLog:       h.errorLog(),
 	}
 }
-
-// LimitListener closes connections beyond max at once, so that the balancer turns to another VM.
-func LimitListener(l net.Listener, max int, registry metrics.Registry) net.Listener {
-	return &limitListener{
-		Listener: l,
-		max:      int64(max),
-		refused:  metrics.GetOrRegisterCounter(MetricConnectionsRefused, registry),
-		gauge:    metrics.GetOrRegisterGauge(MetricConnections, registry),
-	}
-}
-
-type limitListener struct {
-	net.Listener
-	max     int64
-	open    atomic.Int64
-	refused metrics.Counter
-	gauge   metrics.Gauge
-}
-
-// Accept waits for a connection within the limit.
-func (l *limitListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open.Add(1) <= l.max {
-			l.gauge.Update(l.open.Load())
-			return &limitedConn{Conn: conn, listener: l}, nil
-		}
-		l.open.Add(-1)
-		l.refused.Inc(1)
-		conn.Close()
-	}
-}
-
-type limitedConn struct {
-	net.Conn
-	listener *limitListener
-	closed   atomic.Bool
-}
-
-// Close closes the connection and frees its place.
-func (c *limitedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.listener.gauge.Update(c.listener.open.Add(-1))
-	}
-	return c.Conn.Close()
-}
--- a/pkg/entry/limits_test.go
+++ b/pkg/entry/limits_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/result"
@@ -106,36 +105,3 @@
 
 func (l *oneListener) Close() error   { return nil }
 func (l *oneListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-func TestLimitListener(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	registry := metrics.NewRegistry()
-	l := LimitListener(inner, 1, registry)
-	defer l.Close()
-	accepted := make(chan net.Conn, 3)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- conn
-		}
-	}()
-	dial := func() net.Conn {
-		conn, err := net.Dial("tcp", inner.Addr().String())
-		require.NoError(t, err)
-		t.Cleanup(func() { conn.Close() })
-		return conn
-	}
-	dial()
-	first := <-accepted
-	_, err = dial().Read(make([]byte, 1))
-	require.Error(t, err, "the second is closed at once")
-	require.Equal(t, int64(1), metrics.GetOrRegisterCounter(MetricConnectionsRefused, registry).Count())
-	first.Close()
-	first.Close()
-	dial()
-	<-accepted
-}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -8,11 +8,9 @@
 
 // Names of the metrics.
 const (
-	MetricRefused            = "entry.refused"
-	MetricKeyRefused         = "entry.key_refused"
-	MetricConnections        = "entry.connections"
-	MetricConnectionsRefused = "entry.connections_refused"
-	MetricMemoryUsed         = "entry.memory_used"
+	MetricRefused    = "entry.refused"
+	MetricKeyRefused = "entry.key_refused"
+	MetricMemoryUsed = "entry.memory_used"
 	// MetricResult is followed by the name of the result code that a request ended with.
 	MetricResult = "entry.results."
 )
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/chart"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
+	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/route"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
@@ -46,7 +47,11 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	deadline time.Time
+	// limit is the time that the request has from its arrival; 0 before it is known.
+	limit time.Duration
 
+	// version is that of the configuration that the request is handled by.
+	version uint64
 	route   bundle.Route
 	group   bundle.Group
 	terms   dialect.Terms
@@ -141,10 +146,14 @@
 	if rules == nil {
 		return c.refuse(result.New(result.NoBundle, "this VM has no configuration yet"))
 	}
+	c.version = rules.Bundle.Version
 	var ok bool
 	if c.route, ok = rules.Routes.Match(c.r.Host, c.r.URL.Path); !ok {
 		return c.refuse(result.New(result.UnknownRoute, "no route has this host and path"))
 	}
+	if limit := rules.Bundle.Callers.HeaderBytes; limit > 0 && httpheader.Size(c.r) > limit {
+		return c.refuse(result.New(result.BadHeader, "the header is larger than the limit"))
+	}
 	var err error
 	if c.terms, err = c.g.cfg.Dialect.Inspect(c.r.Header); err != nil {
 		return c.refuse(result.New(result.BadHeader, err.Error()))
@@ -201,14 +210,14 @@
 // setDeadline starts the request's clock. Requests that must not run twice go on at their endpoint
 // after the caller has left, so that their account of them stays true.
 func (c *call) setDeadline() {
-	limit := defaultPatience
+	c.limit = defaultPatience
 	if c.route.Timeout > 0 {
-		limit = c.route.Timeout
+		c.limit = c.route.Timeout
 	}
 	if c.terms.Patience > 0 {
-		limit = min(limit, c.terms.Patience)
+		c.limit = min(c.limit, c.terms.Patience)
 	}
-	c.deadline = c.arrived.Add(limit)
+	c.deadline = c.arrived.Add(c.limit)
 	parent := c.r.Context()
 	if !c.cancellable() {
 		parent = context.WithoutCancel(parent)
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -61,17 +61,31 @@
 // logEnd writes the line of a request that has ended.
 func (c *call) logEnd(state chart.State) {
 	fields := logrus.Fields{
-		"event": "request", "id": c.terms.ID, "end": state, "route": c.route.Name, "account": c.account, "adapter": c.terms.Adapter, "cost": c.cost,
-		"took": time.Since(c.arrived).Round(time.Millisecond), "waited": c.waited.Round(time.Millisecond),
-		"first": c.first.Round(time.Millisecond), "runs": c.runs, "rejections": c.rejections,
+		"event": "request", "id": c.terms.ID, "end": state, "route": c.route.Name, "account": c.account,
+		"adapter": c.terms.Adapter, "cost": c.cost, "excess": c.excess, "urgency": c.urgency,
+		"time_limit": c.limit, "took": time.Since(c.arrived).Round(time.Millisecond),
+		"waited": c.waited.Round(time.Millisecond), "first": c.first.Round(time.Millisecond),
+		"runs": c.runs, "rejections": c.rejections,
+		"config": c.version, "config_age": c.g.cfg.RulesAge().Round(time.Millisecond),
 	}
 	if c.place.Endpoint.ID != "" {
 		fields["endpoint"] = c.place.Endpoint.ID
 	}
-	if c.failure != nil {
-		fields["code"] = int(c.failure.Code)
-		fields["outcome"] = c.failure.Outcome
-		fields["cause"] = c.failure.Detail
+	entry := c.g.cfg.Log.WithFields(fields)
+	if c.failure == nil {
+		entry.Info()
+		return
 	}
-	c.g.cfg.Log.WithFields(fields).Info()
+	entry.WithFields(logrus.Fields{
+		"code": int(c.failure.Code), "outcome": c.failure.Outcome, "cause": c.failure.Detail,
+		"retry_after": c.failure.RetryAfter.Round(time.Millisecond),
+	}).Warn()
+}
+
+// logAttempt writes the line of an endpoint that has not answered the request in full.
+func (c *call) logAttempt(result string, err error) {
+	c.g.cfg.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "attempt_ended", "id": c.terms.ID, "endpoint": c.place.Endpoint.ID, "result": result,
+		"after": time.Since(c.sentAt).Round(time.Millisecond), "runs": c.runs, "passed_on": c.relay.begun,
+	}).Warn()
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -95,7 +95,9 @@
 	// Rules returns the configuration in force, nil if there is none yet.
 	Rules func() *Rules
 	// KeysValid reports whether the configuration is known to be recent enough to serve keys by.
-	KeysValid  func() bool
+	KeysValid func() bool
+	// RulesAge returns how old the configuration may be.
+	RulesAge   func() time.Duration
 	Dialect    dialect.Dialect
 	Quota      Admitter
 	Dispatcher Dispatcher
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -140,7 +140,7 @@
 func newBench(t *testing.T, endpoints ...handler) *bench {
 	b := &bench{
 		t: t, places: &fixedPlaces{}, quota: &tokens{left: 1000}, valid: true,
-		retries: retry.NewWindow(10*time.Second, 0, 3), seen: make(chan *http.Request, 100),
+		retries: retry.NewWindow(10*time.Second, 0, func() float64 { return 3 }), seen: make(chan *http.Request, 100),
 	}
 	for i, h := range endpoints {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -173,7 +173,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := New(Config{
-		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.valid }, Dialect: testDialect{},
+		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.valid }, RulesAge: func() time.Duration { return 0 }, Dialect: testDialect{},
 		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, nil),
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
@@ -322,7 +322,7 @@
 	require.NoError(t, err)
 	b.places.endpoints[0].Address = l.Addr().String()
 	require.NoError(t, l.Close())
-	b.retries = retry.NewWindow(time.Second, 0, 0)
+	b.retries = retry.NewWindow(time.Second, 0, func() float64 { return 0 })
 	require.Equal(t, "second", b.do("/unsafe/", nil, "").body)
 	require.True(t, b.places.outcomes[0].Unreachable)
 }
@@ -342,7 +342,7 @@
 	a = b.do("/safe/", nil, "")
 	require.Equal(t, 500, a.status, "the endpoint's own failure is better than none")
 	b = newBench(t, fail(500), say("second"))
-	b.retries = retry.NewWindow(time.Second, 0, 0)
+	b.retries = retry.NewWindow(time.Second, 0, func() float64 { return 0 })
 	require.Equal(t, "failed", b.do("/safe/", nil, "").body, "no repeats are left")
 }
 
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/mallowlink/mallowlink/pkg/chart"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
@@ -43,7 +45,7 @@
 func (c *call) passWhole() chart.Event {
 	body, err := io.ReadAll(io.LimitReader(c.answer, wholeLimit))
 	if err != nil {
-		return c.cutShort()
+		return c.cutShort(err)
 	}
 	c.noteFirst()
 	if len(body) == wholeLimit {
@@ -51,6 +53,9 @@
 	}
 	answer := &stored{status: c.answer.Status, header: c.answer.Header, body: body}
 	failed := retryableStatus(answer.status)
+	if failed {
+		c.logAttempt("failed", errors.Errorf("status %d", answer.status))
+	}
 	c.drop(Outcome{Failed: failed, First: c.first})
 	if failed && c.route.Idempotent {
 		if event := c.repeat(nil); event == eventAgain {
@@ -75,7 +80,7 @@
 		return c.callerLeft()
 	}
 	if _, err := io.Copy(c.w, c.answer); err != nil {
-		return c.cutShort()
+		return c.cutShort(err)
 	}
 	c.drop(Outcome{First: c.first})
 	return eventDone
@@ -98,7 +103,7 @@
 			return c.endStream()
 		}
 		if err != nil {
-			return c.cutShort()
+			return c.cutShort(err)
 		}
 	}
 }
@@ -140,7 +145,8 @@
 }
 
 // cutShort handles an answer that breaks off.
-func (c *call) cutShort() chart.Event {
+func (c *call) cutShort(err error) chart.Event {
+	c.logAttempt("cut_short", err)
 	if c.ctx.Err() != nil {
 		c.drop(Outcome{Cut: true})
 		return c.interrupted()
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -72,13 +72,16 @@
 		c.runs++
 	}
 	if c.ctx.Err() != nil {
+		c.logAttempt("cut", context.Cause(c.ctx))
 		c.place.Done(Outcome{Cut: true})
 		return c.interrupted()
 	}
 	if failed != nil && !failed.Sent {
+		c.logAttempt("unreachable", err)
 		c.place.Done(Outcome{Unreachable: true})
 		return c.another(result.New(result.NoEndpoint, "no connection to an endpoint"), false)
 	}
+	c.logAttempt("unanswered", err)
 	c.place.Done(Outcome{Failed: true})
 	return c.repeat(result.New(result.EndpointFailed, "the endpoint did not answer"))
 }
@@ -86,6 +89,7 @@
 // rejected handles an answer that says that the request has not run.
 func (c *call) rejected() chart.Event {
 	missing := c.answer.Verdict.Misdirected
+	c.logAttempt("rejected", errors.Errorf("status %d", c.answer.Status))
 	c.drop(Outcome{Rejected: true, NotLoaded: missing})
 	return c.another(result.New(result.QueueFull, "the endpoints are full"), true)
 }
@@ -131,6 +135,7 @@
 
 // broken handles an answer that cannot be passed on.
 func (c *call) broken(why string) chart.Event {
+	c.logAttempt("broken", errors.New(why))
 	c.drop(Outcome{Failed: true})
 	return c.repeat(result.New(result.EndpointFailed, why))
 }
--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -139,11 +139,28 @@
 	}
 }
 
-// operatorAge returns how old what is believed of the operator's rows may be.
-func (b *beliefs) operatorAge(now time.Time) time.Duration {
+// rulesAge returns how old what is believed of the operator's rows may be.
+func (b *beliefs) rulesAge() time.Duration {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	return clock.Elapsed(b.operatorAt, now)
+	return age(b.operatorAt)
+}
+
+// endpointsAge returns how old the list of endpoints may be.
+func (b *beliefs) endpointsAge() time.Duration {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return age(b.endpointsAt)
+}
+
+// unknownAge is the age of what was never known.
+const unknownAge = 24 * time.Hour
+
+func age(confirmed time.Time) time.Duration {
+	if confirmed.IsZero() {
+		return unknownAge
+	}
+	return clock.Elapsed(confirmed, time.Now())
 }
 
 // logEndpoints logs the endpoints that have come, gone, or changed their state.
--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
@@ -48,15 +49,29 @@
 	process *process
 }
 
+// Options are what a daemon works with.
+type Options struct {
+	// Load reads the settings, at the start and when they may have changed.
+	Load    Load
+	Connect Connect
+	// Log receives the log.
+	Log io.Writer
+}
+
 // New builds a daemon and binds its listeners. Nothing runs until Start.
-func New(s Settings, connect Connect) (*Daemon, error) {
+func New(o Options) (*Daemon, error) {
+	s, err := o.Load()
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{}
 	d.app = fx.New(
-		fx.Supply(s),
+		fx.Supply(s, o.Load, o.Connect),
+		fx.Provide(func() io.Writer { return o.Log }),
 		fx.NopLogger,
 		fx.StopTimeout(s.Bounds.Grace),
 		fx.Provide(
-			newIdentity, newLogger, metrics.NewRegistry, connect, newBackground, newListeners,
+			newIdentity, newLog, newLive, metrics.NewRegistry, newPlatform, newBackground, newListeners,
 			newBeliefs, newBoard, newRelay, newUpstream,
 			newPeers, newFleet, newAllowances, newOrders, newDispatcher, newGateway, newServers, newProcess,
 		),
@@ -78,6 +93,9 @@
 	return d, nil
 }
 
+// Reload reads the settings again.
+func (d *Daemon) Reload() { d.process.parts.Live.reload() }
+
 // Start starts every part.
 func (d *Daemon) Start(ctx context.Context) error { return d.app.Start(ctx) }
 
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/follow"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/lease"
@@ -36,18 +38,21 @@
 	return identity{vm: s.VM, incarnation: membership.NewIncarnation(now), started: now}
 }
 
-func newLogger(s Settings) (logrus.FieldLogger, error) {
+// newLog returns the log, and the logger that adds the VM to each line.
+func newLog(s Settings, out io.Writer, registry metrics.Registry) (*eventlog.Log, logrus.FieldLogger, error) {
 	level := logrus.InfoLevel
 	if s.LogLevel != "" {
 		var err error
 		if level, err = logrus.ParseLevel(s.LogLevel); err != nil {
-			return nil, errors.Wrap(err, "log level")
+			return nil, nil, errors.Wrap(err, "log level")
 		}
 	}
-	log := logrus.New()
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	return log.WithField("vm", s.VM), nil
+	log := eventlog.New(out, eventlog.Options{Level: level, Metrics: registry})
+	return log, log.WithField("vm", s.VM), nil
+}
+
+func newPlatform(s Settings, connect Connect, registry metrics.Registry) Platform {
+	return connect(s, registry)
 }
 
 // background is the context of work that lasts as long as the process.
@@ -216,14 +221,14 @@
 }
 
 func newAllowances(s Settings, bg background, id identity, f fleet, b *beliefs, pp peers, log logrus.FieldLogger) allowances {
-	policy := allowance.Policy{Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack}
+	policy := allowance.Policy{Window: s.Bounds.Quota.Window, Overage: s.Bounds.Quota.Overage, Slack: s.Bounds.Quota.Slack}
 	home := allowance.NewHome(bg, allowance.HomeConfig{
 		Policy: policy, Limits: b.limit, Lessor: f.stewards, Fleet: f.stewards,
 		FirstStart: s.FirstStart, Started: id.started, Caller: pp.pool, Log: log,
 	})
 	holder := allowance.NewHolder(bg, allowance.HolderConfig{
 		Self: id.vm, Incarnation: id.incarnation, Started: id.started, FirstStart: s.FirstStart, Policy: policy, Limits: b.limit,
-		Home: home, Lessor: f.stewards, Fleet: f.stewards, Caller: pp.pool,
+		Home: home, Lessor: f.stewards, Fleet: f.stewards, Caller: pp.pool, Log: log,
 	})
 	return allowances{home: home, holder: holder}
 }
@@ -254,21 +259,23 @@
 		Orders:        o,
 		Leases:        f.stewards,
 		Caller:        pp.pool,
+		RosterAge:     b.endpointsAge,
 		Newest:        b.newestOf,
 		Metrics:       registry,
 		Log:           log,
 	})
 }
 
-func newGateway(s Settings, p Platform, b *beliefs, a allowances, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
+func newGateway(s Settings, l *live, f fleet, p Platform, b *beliefs, a allowances, d *dispatch.Dispatcher, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Rules:      b.rules.Load,
-		KeysValid:  func() bool { return keysValid(b, s.Bounds) },
+		KeysValid:  func() bool { return keysValid(b, l.bounds()) },
+		RulesAge:   b.rulesAge,
 		Dialect:    p.Dialect,
 		Quota:      a.holder,
 		Dispatcher: d,
 		Upstream:   out.client,
-		Retries:    newRetries(s.Bounds).of,
+		Retries:    newRetries(s.Bounds.Retry, f.stewards).of,
 		Metrics:    registry,
 		Log:        log,
 	})
@@ -282,7 +289,7 @@
 // keysValid reports whether no key can have been withdrawn for so long that it must no longer work without
 // this VM knowing.
 func keysValid(b *beliefs, bounds Bounds) bool {
-	return b.operatorAge(time.Now()).Seconds() < keyShare*bounds.KeyWithdrawal.Seconds()
+	return b.rulesAge().Seconds() < keyShare*bounds.KeyWithdrawal.Seconds()
 }
 
 func newBoard(id identity) *relay.Board { return relay.NewBoard(id.incarnation) }
@@ -301,29 +308,38 @@
 }
 
 const (
-	// retryCaution is the part of the fleet-wide share of repeats that a VM uses: requests spread
+	// retryCaution is the part of the fleet-wide bound of repeats that the VMs use: requests spread
 	// unevenly over the VMs and over the window.
 	retryCaution = 0.8
-	// retryReserve is the number of repeats that a VM may make without any traffic.
-	retryReserve = 3
+	// maxRetryReserve bounds the repeats of one VM without any traffic. A VM that has just started may
+	// know of no other.
+	maxRetryReserve = 4
 )
 
 // retries bound the repeated requests to each group.
 type retries struct {
-	bounds Bounds
+	bounds RetryBounds
+	fleet  allowance.Fleet
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window // by group, guarded by mu
 }
 
-func newRetries(b Bounds) *retries { return &retries{bounds: b, windows: map[string]*retry.Window{}} }
+func newRetries(b RetryBounds, f allowance.Fleet) *retries {
+	return &retries{bounds: b, fleet: f, windows: map[string]*retry.Window{}}
+}
+
+// reserve returns this VM's part of the repeats that the fleet may make without any traffic.
+func (r *retries) reserve() float64 {
+	return min(retryCaution*r.bounds.Reserve/float64(len(r.fleet.Members())), maxRetryReserve)
+}
 
 func (r *retries) of(group string) *retry.Window {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.windows[group]
 	if w == nil {
-		w = retry.NewWindow(r.bounds.RetryWindow, r.bounds.RetryShare*retryCaution, retryReserve)
+		w = retry.NewWindow(r.bounds.Window, r.bounds.Share*retryCaution, r.reserve)
 		r.windows[group] = w
 	}
 	return w
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -15,22 +15,31 @@
 	"go.uber.org/fx"
 
 	"github.com/mallowlink/mallowlink/pkg/admin"
+	"github.com/mallowlink/mallowlink/pkg/callers"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/relay"
 )
 
 const (
-	// headerTimeout bounds the header of a request where the configuration sets no limit.
+	// headerTimeout and idleTimeout bound how long a caller may take for a header, and stay without a
+	// request, where the configuration sets no limits.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's connection without a request is kept. It is longer than what
-	// operators configure, so that a caller's reuse never meets a close.
-	idleTimeout = 2 * time.Minute
+	idleTimeout   = 2 * time.Minute
+	// headerBytes bounds a caller's header where the configuration sets no limit; net/http's default.
+	headerBytes = http.DefaultMaxHeaderBytes
+	// descriptorsKept are the descriptors that callers' connections leave to others: to endpoints, to
+	// other VMs, to the store, and to files.
+	descriptorsKept = 1500
 	// balancerWait is how long a stopping process still takes new connections: the balancer notices
 	// within two of its questions.
 	balancerWait = 2500 * time.Millisecond
 	// sweepPause is the time between two passes over idle connections to endpoints.
 	sweepPause = time.Second
+	// logFlush bounds the wait for the last lines of the log.
+	logFlush = 200 * time.Millisecond
 	// stopMargin is the part of the time until SIGKILL that is left for closing.
 	stopMargin = 600 * time.Millisecond
 )
@@ -38,35 +47,49 @@
 // servers are the process's HTTP servers.
 type servers struct {
 	callers, readiness, metrics *http.Server
-	ready                       atomic.Pointer[func() bool]
+	watch                       *callers.Watch
+	process                     atomic.Pointer[process]
 }
 
 func newServers(g *gateway.Gateway, registry metrics.Registry) *servers {
 	s := &servers{}
 	router := mux.NewRouter()
 	router.HandleFunc("/readyz", s.serveReady).Methods(http.MethodGet)
-	s.callers = &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	// The watch bounds headers and idle connections, as the configuration in force says.
+	s.callers = &http.Server{Handler: g, MaxHeaderBytes: headerBytes}
+	s.watch = callers.NewWatch(s.callers)
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	s.metrics = &http.Server{
-		Handler:           admin.NewHandler(func() any { return nil }, registry),
+		Handler:           admin.NewHandler(s.state, registry),
 		ReadHeaderTimeout: headerTimeout,
 	}
 	return s
 }
 
 func (s *servers) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if ready := s.ready.Load(); ready == nil || !(*ready)() {
+	if p := s.process.Load(); p == nil || !p.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// state returns the dump, nil before the process has started.
+func (s *servers) state() any {
+	if p := s.process.Load(); p != nil {
+		return p.state()
+	}
+	return nil
+}
+
 // parts are what a process runs.
 type parts struct {
 	fx.In
 
 	Settings   Settings
+	Live       *live
 	ID         identity
+	Metrics    metrics.Registry
 	Log        logrus.FieldLogger
+	Lines      *eventlog.Log
 	Base       background
 	Listeners  *listeners
 	Beliefs    *beliefs
@@ -74,6 +97,8 @@
 	Out        outbound
 	Peers      peers
 	Fleet      fleet
+	Allowances allowances
+	Orders     *orders.Service
 	Dispatcher *dispatch.Dispatcher
 	Gateway    *gateway.Gateway
 	Servers    *servers
@@ -93,22 +118,23 @@
 // ready reports whether new connections of callers should come here.
 func (p *process) ready() bool {
 	b := p.parts.Beliefs
-	return !p.draining.Load() && b.rules.Load() != nil && b.roster.View().Len() > 0 && keysValid(b, p.parts.Settings.Bounds)
+	return !p.draining.Load() && b.rules.Load() != nil && b.roster.View().Len() > 0 && keysValid(b, p.parts.Live.bounds())
 }
 
 // start runs every part. The peer port takes calls first: a connection that it refuses would prove
 // this process gone.
 func (p *process) start() {
-	ready := p.ready
-	p.parts.Servers.ready.Store(&ready)
+	p.parts.Servers.process.Store(p)
 	p.serve("peer", func() error { return p.parts.Peers.server.Serve(p.parts.Listeners.peer) })
 	p.loop(p.parts.Relay.Run)
 	p.loop(p.parts.Fleet.stewards.run)
 	p.loop(p.parts.Dispatcher.Run)
+	p.loop(p.parts.Live.run)
 	p.loop(p.sweep)
 	p.serveHTTP("readiness", p.parts.Servers.readiness, p.parts.Listeners.readiness)
 	p.serveHTTP("metrics", p.parts.Servers.metrics, p.parts.Listeners.metrics)
-	p.serveHTTP("callers", p.parts.Servers.callers, p.parts.Listeners.callers)
+	most := max(p.parts.Settings.Limits.Descriptors-descriptorsKept, descriptorsKept)
+	p.serveHTTP("callers", p.parts.Servers.callers, callers.Limit(p.parts.Listeners.callers, most, p.parts.Metrics))
 	p.parts.Log.WithFields(logrus.Fields{
 		"event": "started", "incarnation": p.parts.ID.incarnation,
 		"callers": p.parts.Settings.Listen.Callers, "peer": p.parts.Settings.Listen.Peer,
@@ -137,7 +163,7 @@
 	p.failOnce.Do(func() { close(p.failed) })
 }
 
-// sweep closes idle connections to endpoints until ctx ends.
+// sweep closes idle connections of callers and to endpoints until ctx ends.
 func (p *process) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepPause)
 	defer ticker.Stop()
@@ -147,10 +173,27 @@
 			return
 		case now := <-ticker.C:
 			p.parts.Out.pools.Sweep(now)
+			p.parts.Servers.watch.Sweep(p.patience(), now)
 		}
 	}
 }
 
+// patience returns how long callers are waited for.
+func (p *process) patience() callers.Patience {
+	patience := callers.Patience{Header: headerTimeout, Idle: idleTimeout}
+	rules := p.parts.Beliefs.rules.Load()
+	if rules == nil {
+		return patience
+	}
+	if limit := rules.Bundle.Callers.HeaderTimeout; limit > 0 {
+		patience.Header = limit
+	}
+	if limit := rules.Bundle.Callers.IdleTimeout; limit > 0 {
+		patience.Idle = limit
+	}
+	return patience
+}
+
 // stop drains the process: it is no longer ready, hands its leases over, finishes every request, and
 // ends. What still runs shortly before SIGKILL is cut, and counted in the log.
 func (p *process) stop(ctx context.Context) error {
@@ -158,7 +201,7 @@
 	begun := time.Now()
 	p.draining.Store(true)
 	p.parts.Gateway.Drain()
-	ctx, cancel := context.WithTimeout(ctx, p.parts.Settings.Bounds.Grace-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, p.parts.Live.bounds().Grace-stopMargin)
 	defer cancel()
 	if err := p.parts.Fleet.leases.Drain(ctx); err != nil {
 		p.parts.Log.WithFields(logrus.Fields{"event": "handover_incomplete", "error": err.Error()}).Warn()
@@ -172,6 +215,7 @@
 	cut := p.parts.Gateway.Running()
 	p.close()
 	p.parts.Log.WithFields(logrus.Fields{"event": "stopped", "took": time.Since(begun).Round(time.Millisecond), "cut": cut}).Info()
+	p.parts.Lines.Close(logFlush)
 	return nil
 }
 
--- /dev/null
+++ b/pkg/gatewayd/reload_test.go
@@ -0,0 +1,97 @@
+package gatewayd
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+)
+
+func sample() Settings {
+	return Settings{
+		VM: "a", FailureDomain: "d", Store: "1.2.3.4:5", Listen: Listen{Callers: "x", Readiness: "y", Peer: "z", Metrics: "m"},
+		Limits: Limits{MemoryBytes: 300 << 20, Descriptors: 4000, Cores: 0.4},
+		Bounds: Bounds{
+			KeyWithdrawal: 5 * time.Second, Grace: 8 * time.Second, OrderTurns: 3 * time.Second,
+			Retry: RetryBounds{Share: 0.2, Reserve: 54, Window: 10 * time.Second},
+			Quota: QuotaBounds{Overage: 0.1, Slack: 1000, Window: 8 * time.Second},
+		},
+	}
+}
+
+// change changes a value to another one of its type.
+func change(t *testing.T, v reflect.Value) {
+	t.Helper()
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(v.String() + "'")
+	case reflect.Int, reflect.Int64:
+		v.SetInt(v.Int() + 1)
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 1)
+	case reflect.Bool:
+		v.SetBool(!v.Bool())
+	default:
+		t.Fatalf("no change for %s", v.Type())
+	}
+}
+
+// leaves calls do with each field that is not a structure.
+func leaves(v reflect.Value, name string, do func(name string, v reflect.Value)) {
+	if v.Kind() != reflect.Struct {
+		do(name, v)
+		return
+	}
+	for i := range v.NumField() {
+		leaves(v.Field(i), name+"."+v.Type().Field(i).Name, do)
+	}
+}
+
+// Each setting is known to the reload, as one that takes effect or as one that needs a restart. Two are
+// left out: FirstStart tells of the past, and the level of the log comes from the command line.
+func TestEverySettingIsLookedAt(t *testing.T) {
+	read := sample()
+	leaves(reflect.ValueOf(&read).Elem(), "", func(name string, v reflect.Value) {
+		old := reflect.New(v.Type()).Elem()
+		old.Set(v)
+		change(t, v)
+		_, applied, waiting := merge(sample(), read)
+		if name == ".FirstStart" || name == ".LogLevel" {
+			require.Empty(t, append(applied, waiting...), name)
+		} else {
+			require.Len(t, append(applied, waiting...), 1, name)
+		}
+		v.Set(old)
+	})
+}
+
+func TestReloadAppliesWhatCanChange(t *testing.T) {
+	log, lines := test.NewNullLogger()
+	read := sample()
+	var fault error
+	l := newLive(sample(), func() (Settings, error) { return read, fault }, log)
+	l.look(false)
+	require.Empty(t, lines.Entries, "nothing has changed")
+
+	read.Bounds.KeyWithdrawal = 2 * time.Second
+	read.Store = "9.9.9.9:9"
+	l.look(false)
+	require.Equal(t, 2*time.Second, l.bounds().KeyWithdrawal)
+	require.Equal(t, "1.2.3.4:5", l.current.Load().Store)
+	require.Equal(t, "settings_reloaded", lines.LastEntry().Data["event"])
+	require.Equal(t, []string{"store"}, lines.LastEntry().Data["need_restart"])
+
+	fault = errors.New("grace is missing")
+	l.look(false)
+	l.look(false)
+	require.Len(t, lines.Entries, 2, "a fault is logged once")
+	require.Equal(t, "settings_refused", lines.LastEntry().Data["event"])
+	require.Equal(t, 2*time.Second, l.bounds().KeyWithdrawal)
+
+	fault = nil
+	l.look(true)
+	require.Equal(t, "settings_reloaded", lines.LastEntry().Data["event"], "a signal is answered in any case")
+}
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -20,6 +20,7 @@
 
 // Listen holds the addresses that the process listens on, as IP and port.
 type Listen struct {
+	// Callers takes callers' requests.
 	Callers string
 	// Readiness answers whether new connections of callers should come here.
 	Readiness string
@@ -41,24 +42,28 @@
 
 // Bounds are the deployment's figures that the process works by.
 type Bounds struct {
-	// Heartbeat is how often an endpoint writes to the platform's list.
-	Heartbeat time.Duration
 	// KeyWithdrawal is the time within which a withdrawn key must stop working on every VM.
 	KeyWithdrawal time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
-	// Drain is the time within which requests to a leaving endpoint must end.
-	Drain time.Duration
 	// OrderTurns is the least time between orders of two VMs that take turns at an endpoint.
 	OrderTurns time.Duration
-	// RetryShare, RetryReserve and RetryWindow bound repeated requests, fleet-wide: to a share of the
-	// requests within the window, and a number on top.
-	RetryShare   float64
-	RetryReserve float64
-	RetryWindow  time.Duration
-	// QuotaOverage, QuotaSlack and QuotaWindow bound what a client account may exceed its limit by
-	// within the window: a share of the limit, and tokens on top.
-	QuotaOverage float64
-	QuotaSlack   float64
-	QuotaWindow  time.Duration
+	Retry      RetryBounds
+	Quota      QuotaBounds
+}
+
+// RetryBounds bound the repeated requests to a group, by all VMs together, within a window: to a share of
+// the requests, and a number on top.
+type RetryBounds struct {
+	Share   float64
+	Reserve float64
+	Window  time.Duration
+}
+
+// QuotaBounds say what a client account may exceed its limit by within a window: a share of the limit, and
+// tokens on top.
+type QuotaBounds struct {
+	Overage float64
+	Slack   float64
+	Window  time.Duration
 }
--- a/pkg/httpheader/hopbyhop.go
+++ b/pkg/httpheader/hopbyhop.go
@@ -34,3 +34,14 @@
 	}
 	return out
 }
+
+// Size returns the bytes of a request's target and of its header fields, without what separates them.
+func Size(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -75,6 +75,8 @@
 // AcquireReply is the answer.
 type AcquireReply struct {
 	Status Status
+	// Owner is the VM that answers.
+	Owner string
 	// Version is the version of the adapter to ask for; 0 for requests without one.
 	Version int
 	// Estimate is the expected time to the first token, without the wait for the adapter.
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -213,6 +215,7 @@
 		return nil
 	}
 	*reply = w.acquire(s.ctx, args)
+	reply.Owner = s.cfg.Self
 	return nil
 }
 
@@ -278,9 +281,35 @@
 	return nil
 }
 
-// Engines returns the number of engines that this VM gives orders to.
-func (s *Service) Engines() int {
+// EngineState is what a VM knows of an engine that it gives orders to.
+type EngineState struct {
+	Endpoint string `json:"endpoint"`
+	Started  int64  `json:"started"`
+	Lease    string `json:"lease"`
+	Ready    bool   `json:"ready"`
+	Down     bool   `json:"down"`
+	// Held, InUse, Loading and Wanted count adapters.
+	Held    int `json:"held"`
+	InUse   int `json:"in_use"`
+	Loading int `json:"loading"`
+	Wanted  int `json:"wanted"`
+	// LoadTime is the time that a load takes, TokenTime that of a token of a prompt.
+	LoadTime  string `json:"load_time"`
+	TokenTime string `json:"token_time"`
+	// Requests are those that were let through, Unread the tokens of their prompts that are to be read.
+	Requests int `json:"requests"`
+	Unread   int `json:"unread"`
+}
+
+// State returns what this VM knows of the engines that it gives orders to, by endpoint.
+func (s *Service) State() []EngineState {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.workers)
+	workers := slices.Collect(maps.Values(s.workers))
+	s.mu.Unlock()
+	states := make([]EngineState, 0, len(workers))
+	for _, w := range workers {
+		states = append(states, w.state())
+	}
+	slices.SortFunc(states, func(a, b EngineState) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return states
 }
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -141,15 +141,32 @@
 		return
 	}
 	w.loggedAt = now
-	sum := w.books.Summary()
+	s := w.stateNow()
 	w.s.cfg.Log.WithFields(logrus.Fields{
-		"event": "engine_state", "endpoint": w.endpoint.ID, "held": sum.Held, "in_use": sum.InUse,
-		"loading": sum.Loading, "wanted": sum.Wanted, "load_time": sum.Cold.Round(time.Millisecond),
-		"requests": w.load.running, "unread": w.load.pending, "token_time": w.load.perTok,
-		"ready": w.books.Ready(), "down": !w.downUntil.IsZero(),
+		"event": "engine_state", "endpoint": s.Endpoint, "held": s.Held, "in_use": s.InUse,
+		"loading": s.Loading, "wanted": s.Wanted, "load_time": s.LoadTime, "requests": s.Requests,
+		"unread": s.Unread, "token_time": s.TokenTime, "ready": s.Ready, "down": s.Down,
 	}).Debug()
 }
 
+func (w *worker) state() EngineState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stateNow()
+}
+
+// stateNow returns what is known of the engine. w.mu is held.
+func (w *worker) stateNow() EngineState {
+	sum := w.books.Summary()
+	return EngineState{
+		Endpoint: w.endpoint.ID, Started: w.endpoint.Started, Lease: w.lease,
+		Ready: w.books.Ready(), Down: !w.downUntil.IsZero(),
+		Held: sum.Held, InUse: sum.InUse, Loading: sum.Loading, Wanted: sum.Wanted,
+		LoadTime: sum.Cold.Round(time.Millisecond).String(), TokenTime: w.load.perTok.String(),
+		Requests: w.load.running, Unread: w.load.pending,
+	}
+}
+
 func (w *worker) sleep(ctx context.Context, now, due time.Time) {
 	wait := idleCheck
 	if !due.IsZero() {
--- a/pkg/relay/node.go
+++ b/pkg/relay/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -236,11 +238,20 @@
 	}
 }
 
-// Reading reports whether this VM reads the store.
-func (n *Node) Reading() bool {
+// State is where a VM has its news from.
+type State struct {
+	// Source is the VM that it asks, empty while it reads the store for itself.
+	Source string `json:"source"`
+	// Reading says that it reads the store, Askers are the VMs that ask it.
+	Reading bool     `json:"reading"`
+	Askers  []string `json:"askers"`
+}
+
+// State returns where this VM has its news from.
+func (n *Node) State() State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.stop != nil
+	return State{Source: n.source, Reading: n.stop != nil, Askers: slices.Sorted(maps.Keys(n.asked))}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -211,11 +211,11 @@
 		})
 		time.Sleep(4 * time.Second)
 		require.Equal(t, "new", members[3].value())
-		require.True(t, members[3].node.Reading())
+		require.True(t, members[3].node.State().Reading)
 		require.False(t, members[0].present["vm3"], "known to be silent")
 		w.set(func() { w.down["vm3"] = false })
 		time.Sleep(10 * time.Second)
-		require.False(t, members[3].node.Reading())
+		require.False(t, members[3].node.State().Reading)
 		require.True(t, members[0].present["vm3"])
 	})
 }
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -13,7 +13,7 @@
 type Window struct {
 	span    time.Duration
 	share   float64
-	reserve float64
+	reserve func() float64
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -24,8 +24,9 @@
 	current  int
 }
 
-// NewWindow returns a Window over span, for a share of the requests and reserve repeats.
-func NewWindow(span time.Duration, share, reserve float64) *Window {
+// NewWindow returns a Window over span, for a share of the requests and reserve repeats. The reserve may
+// change.
+func NewWindow(span time.Duration, share float64, reserve func() float64) *Window {
 	return &Window{span: span, share: share, reserve: reserve}
 }
 
@@ -47,7 +48,7 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	if float64(repeats)+1 > w.share*float64(requests)+w.reserve {
+	if float64(repeats)+1 > w.share*float64(requests)+w.reserve() {
 		return false
 	}
 	w.repeats[w.current]++
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -10,7 +10,7 @@
 // Within any span, repeats stay within the share of the requests and the reserve.
 func TestWindowBoundsRepeats(t *testing.T) {
 	const span, share, reserve = 10 * time.Second, 0.2, 3.0
-	w := NewWindow(span, share, reserve)
+	w := NewWindow(span, share, func() float64 { return reserve })
 	now := time.Unix(1_700_000_000, 0)
 	type event struct {
 		at     time.Time
@@ -45,7 +45,7 @@
 }
 
 func TestWindowForgets(t *testing.T) {
-	w := NewWindow(10*time.Second, 0, 2)
+	w := NewWindow(10*time.Second, 0, func() float64 { return 2 })
 	now := time.Unix(1_700_000_000, 0)
 	require.True(t, w.Repeat(now))
 	require.True(t, w.Repeat(now))
--- a/pkg/standalone/standalone.go
+++ b/pkg/standalone/standalone.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"text/template"
 	"time"
 
@@ -121,7 +122,7 @@
 	if err := around.apply(ctx, trust, private, s.Key); err != nil {
 		return errors.Wrap(err, "apply the example bundle")
 	}
-	s.daemon, err = daemon.New(daemonSettings(opts, around, public))
+	s.daemon, err = daemon.New(daemonSettings(opts, around, public), os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -166,7 +166,7 @@
 
 // addVM builds a daemon and lists it.
 func (f *Fleet) addVM(id, domain string) error {
-	d, err := daemon.New(f.settings(id, domain))
+	d, err := daemon.New(f.settings(id, domain), os.Stderr)
 	if err != nil {
 		return err
 	}
--- a/test/processes/fleet_test.go
+++ b/test/processes/fleet_test.go
@@ -199,7 +199,7 @@
 func (f *fleet) start(p *process) {
 	p.log = &logBuffer{}
 	p.cmd = exec.Command(f.binary, "run", "--config", p.config)
-	p.cmd.Stderr = p.log
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	require.NoError(f.t, p.cmd.Start())
 	cmd, log := p.cmd, p.log
 	f.t.Cleanup(func() {
