Count an engine's orders so that none in flight can become valid later

Cause: (1) a conflict after an unanswered order was put down to that order, also when an order from before the last report could have been carried out; (2) the count could be put one too high, and an order that expects a count which the engine has yet to reach becomes valid later. Now the count is never more than the engine's, and such a conflict is explained by a report while strays may live. Choices among equals in the books no longer depend on the order of maps.

--- a/pkg/daemon/command/command.go
+++ b/pkg/daemon/command/command.go
@@ -145,6 +145,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&opts.LogLevel, "log-level", "info", "least level of the lines that are logged")
+	cmd.Flags().StringVar(&opts.PeerAddress, "peer-address", "", "where other VMs reach this one, if it is not where it listens")
 	return cmd
 }
 
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -151,13 +151,13 @@
 		ID:            id.vm,
 		Incarnation:   id.incarnation,
 		FailureDomain: s.FailureDomain,
-		PeerAddress:   s.Listen.Peer,
+		PeerAddress:   s.Listen.peerAddress(),
 	}, nil, pp.pool, log)
 	set := &listenerSet{}
 	table := follow.NewMirror(p.Fleet)
 	stew := &stewards{
 		self: relay.VM{
-			ID: id.vm, Incarnation: id.incarnation, Address: s.Listen.Peer,
+			ID: id.vm, Incarnation: id.incarnation, Address: s.Listen.peerAddress(),
 			FailureDomain: s.FailureDomain, Cores: s.Limits.Cores,
 		},
 		table: table, members: members, board: board, log: log, vms: map[string]seenVM{},
@@ -165,7 +165,7 @@
 	leases := lease.NewManager(lease.Config{
 		ID:          id.vm,
 		Incarnation: id.incarnation,
-		Address:     s.Listen.Peer,
+		Address:     s.Listen.peerAddress(),
 		Capacity:    s.Limits.Cores,
 		ListPeriod:  listPeriod,
 		Period:      renewPeriod,
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -28,6 +28,16 @@
 	Peer string
 	// Metrics serves metrics and the dump of the process's state.
 	Metrics string
+	// PeerPublic is where other VMs reach Peer, if something stands between; empty otherwise.
+	PeerPublic string
+}
+
+// peerAddress returns where other VMs reach this one.
+func (l Listen) peerAddress() string {
+	if l.PeerPublic != "" {
+		return l.PeerPublic
+	}
+	return l.Peer
 }
 
 // Limits are what the VM gives the process.
--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -3,6 +3,7 @@
 package residency
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +17,11 @@
 	Name  string
 }
 
+// compare orders keys, so that equals are always chosen from in the same way.
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Model, other.Model), cmp.Compare(k.Name, other.Name))
+}
+
 // KeyOf returns the key of an adapter.
 func KeyOf(a roster.Adapter) Key { return Key{Model: a.Model, Name: a.Name} }
 
@@ -80,8 +86,9 @@
 	ordered time.Time
 	poll    time.Time
 	warm    bool
-	// unsure says that the order got no answer.
-	unsure bool
+	// unsure says that the order got no answer, expected is the count that it expected.
+	unsure   bool
+	expected int64
 	// asked is when the last question for the end of the order was answered, zero if none was.
 	asked time.Time
 }
@@ -103,12 +110,17 @@
 // Books are the books on one engine. They are not safe for concurrent use.
 type Books struct {
 	cfg Config
-	// accepted is the engine's count of orders. ahead says that it may be one more.
+	// accepted is the engine's count of orders. It may be less than the engine's, but never more: an order
+	// that expects a count that the engine has yet to reach could be carried out then. perhaps says that it
+	// may be one less.
 	accepted int64
-	ahead    bool
+	perhaps  bool
 	// synced says that a report was read. doubted says that the books have proved wrong since: no order
 	// is given before the next report, but what is held is still used.
 	synced, doubted bool
+	// strays says that orders from before the last report may still be carried out: none has been accepted
+	// since.
+	strays bool
 	// syncAt is when a report may be read that shows all orders.
 	syncAt time.Time
 	// base is the engine's base model.
@@ -143,7 +155,7 @@
 	if slices.Contains(r.Models, b.cfg.Model) {
 		b.base.state = loaded
 	}
-	b.accepted, b.ahead, b.synced, b.doubted = r.Accepted, false, true, false
+	b.accepted, b.perhaps, b.synced, b.doubted, b.strays = r.Accepted, false, true, false, true
 }
 
 func (b *Books) adopt(a roster.Adapter, st state, old map[Key]*slot, now time.Time) {
--- a/pkg/residency/books_test.go
+++ b/pkg/residency/books_test.go
@@ -127,6 +127,25 @@
 	require.Equal(t, 2, version)
 }
 
+// Orders of a VM that ordered the engine before are carried out after another one has taken over. They
+// never make the engine hold more than it has places.
+func TestLateOrdersOfTheOwnerBefore(t *testing.T) {
+	for seed := range int64(300) {
+		k := newKeeper(seed)
+		k.lossShare = 0.7
+		for i := range 60 {
+			for range 3 {
+				k.books.Want(key(fmt.Sprintf("a%d", k.rnd.Intn(4*places))), 0, k.now)
+			}
+			k.run(k.now.Add(time.Duration(k.rnd.Intn(600)) * time.Millisecond))
+			if i%8 == 7 {
+				k.handOver()
+			}
+		}
+		require.False(t, k.engine.overfull, "seed %d", seed)
+	}
+}
+
 // Orders that get no answer, and are carried out seconds later or at once, never make the engine hold
 // more than it has places, and the books agree with the engine once they have settled.
 func TestLostOrders(t *testing.T) {
--- a/pkg/residency/model_test.go
+++ b/pkg/residency/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
@@ -33,8 +34,12 @@
 	held    map[string]bool
 	// late are orders without an answer that may still be carried out.
 	late []lateOrder
+	// lenient says that an order that holds already is not held against the expected count.
+	lenient bool
 	// slowdown is how many times longer cold loads take than at full speed.
 	slowdown int
+	// reports are those of the past, the newest last.
+	reports []datedReport
 	// overfull says that the engine was ordered to hold more than it has places.
 	overfull bool
 }
@@ -85,8 +90,15 @@
 		e.order(l.action)
 	}
 	e.late = kept
+	e.reports = append(e.reports, datedReport{now, e.report()})
+	if len(e.reports) > maxReports {
+		e.reports = e.reports[len(e.reports)/2:]
+	}
 }
 
+// maxReports bounds the reports that are kept.
+const maxReports = 2000
+
 // order carries an order out.
 func (e *modelEngine) order(a residency.Action) engine.Reply {
 	if a.Kind == residency.Evict || a.Kind == residency.ConfirmEvict {
@@ -99,6 +111,9 @@
 	if _, ok := e.pending[name]; ok {
 		return engine.Accepted
 	}
+	if e.lenient && e.loaded[name] {
+		return engine.Holds
+	}
 	if a.Expected != e.accepted || !e.model {
 		return engine.Conflict
 	}
@@ -134,6 +149,9 @@
 
 func (e *modelEngine) evict(a residency.Action) engine.Reply {
 	name := a.Adapter.Name
+	if e.lenient && !e.loaded[name] {
+		return engine.Holds
+	}
 	if a.Expected != e.accepted {
 		return engine.Conflict
 	}
@@ -152,6 +170,25 @@
 	return engine.Holds
 }
 
+// maxLag bounds how old reports are.
+const maxLag = int(250 * time.Millisecond)
+
+// datedReport is a report of that moment.
+type datedReport struct {
+	at     time.Time
+	report engine.Report
+}
+
+// reportBefore returns the report of a moment that lies as far back.
+func (e *modelEngine) reportBefore(lag time.Duration) engine.Report {
+	for _, r := range slices.Backward(e.reports) {
+		if !r.at.After(e.now.Add(-lag)) {
+			return r.report
+		}
+	}
+	return e.report()
+}
+
 func (e *modelEngine) report() engine.Report {
 	r := engine.Report{Accepted: e.accepted}
 	if e.model {
@@ -181,11 +218,17 @@
 func newKeeper(seed int64) *keeper {
 	now := time.Unix(1_700_000_000, 0)
 	k := &keeper{now: now, engine: newModelEngine(now), rnd: rand.New(rand.NewSource(seed))}
+	k.engine.lenient = seed%2 == 1
+	k.handOver()
+	return k
+}
+
+// handOver gives the engine to a VM that knows nothing of it.
+func (k *keeper) handOver() {
 	k.books = residency.New(residency.Config{
 		Model: baseModel, ModelLoad: time.Second, Places: places, MaxLoading: residency.DefaultMaxLoading,
 		WarmCount: residency.DefaultWarmCount, Newest: func(residency.Key) int { return 0 },
 	})
-	return k
 }
 
 // run drives the books until a time.
@@ -209,7 +252,7 @@
 	k.now = k.now.Add(trip)
 	k.engine.advance(k.now)
 	if a.Kind == residency.Report {
-		k.books.Sync(k.engine.report(), k.now)
+		k.books.Sync(k.engine.reportBefore(time.Duration(k.rnd.Intn(maxLag))), k.now)
 		return
 	}
 	k.orders++
--- a/pkg/residency/next.go
+++ b/pkg/residency/next.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
@@ -76,14 +77,6 @@
 	return b.slots[key]
 }
 
-// count returns the count to expect from the engine.
-func (b *Books) count() int64 {
-	if b.ahead {
-		return b.accepted + 1
-	}
-	return b.accepted
-}
-
 // nextPoll returns the most overdue question for the end of an order.
 func (b *Books) nextPoll(now time.Time) (Action, bool) {
 	var best Key
@@ -92,7 +85,7 @@
 		if s.state == loaded || s.poll.After(now) {
 			continue
 		}
-		if found == nil || s.poll.Before(found.poll) {
+		if found == nil || cmp.Or(s.poll.Compare(found.poll), key.compare(best)) < 0 {
 			best, found = key, s
 		}
 	}
@@ -110,7 +103,7 @@
 	return Action{
 		Kind:     kind,
 		Adapter:  roster.Adapter{Model: key.Model, Name: key.Name, Version: version},
-		Expected: b.count(),
+		Expected: b.accepted,
 	}
 }
 
@@ -160,7 +153,7 @@
 		if !b.missing(key) {
 			continue
 		}
-		if found == nil || w.before(found) {
+		if found == nil || cmp.Or(w.compare(found), key.compare(best)) < 0 {
 			best, found = key, w
 		}
 	}
@@ -173,15 +166,13 @@
 	return key.Name != "" && (s == nil || s.state == loaded && b.stale(key, s))
 }
 
-// before reports whether the adapter is to be loaded before the other.
-func (w *want) before(other *want) bool {
-	if w.urgency != other.urgency {
-		return w.urgency < other.urgency
-	}
-	if w.waiters != other.waiters {
-		return w.waiters > other.waiters
-	}
-	return w.since.Before(other.since)
+// compare orders wants by which adapter is to be loaded first.
+func (w *want) compare(other *want) int {
+	return cmp.Or(
+		cmp.Compare(w.urgency, other.urgency),
+		cmp.Compare(other.waiters, w.waiters),
+		w.since.Compare(other.since),
+	)
 }
 
 // victim returns the idle adapter that was used least recently.
@@ -192,7 +183,7 @@
 		if s.state != loaded || s.users > 0 || b.wants[key] != nil {
 			continue
 		}
-		if found == nil || s.lastUse.Before(found.lastUse) {
+		if found == nil || cmp.Or(s.lastUse.Compare(found.lastUse), key.compare(best)) < 0 {
 			best, found = key, s
 		}
 	}
@@ -232,7 +223,7 @@
 	s := b.slot(key)
 	switch a.Kind {
 	case Load:
-		b.settleCount(a.Expected + 1)
+		b.counted(a)
 		b.begin(key, a, now)
 	case Confirm:
 		// An engine answers so to the repeated order while the load lasts, and to the order itself if
@@ -241,7 +232,7 @@
 			return
 		}
 		if s.unsure {
-			b.settleCount(a.Expected + 1)
+			b.countedOnce(a, s)
 			b.begin(key, a, now)
 			return
 		}
@@ -250,17 +241,22 @@
 		if s == nil {
 			return
 		}
-		if a.Kind == Evict || s.unsure {
-			b.settleCount(a.Expected + 1)
+		if a.Kind == Evict {
+			b.counted(a)
 			s.ordered = now
+		} else if s.unsure {
+			b.countedOnce(a, s)
 		}
 		s.state, s.unsure = leaving, false
 		s.postpone(now)
 	}
 }
 
-// settleCount takes in the engine's count of orders.
-func (b *Books) settleCount(n int64) { b.accepted, b.ahead = n, false }
+// counted takes in that the engine has accepted the order. It carries out no order any more that expects the
+// count of before.
+func (b *Books) counted(a Action) {
+	b.accepted, b.perhaps, b.strays = a.Expected+1, false, false
+}
 
 // begin notes a load that has been ordered.
 func (b *Books) begin(key Key, a Action, now time.Time) {
@@ -287,6 +283,16 @@
 	return time.Duration(earlyPoll * float64(expected))
 }
 
+// countedOnce takes in that the engine has accepted either the order that got no answer or the one that
+// repeats it. If both expect the same count, the engine's count is one more.
+func (b *Books) countedOnce(repeated Action, s *slot) {
+	if repeated.Expected == s.expected {
+		b.counted(repeated)
+		return
+	}
+	b.perhaps = true
+}
+
 // holds takes in that what the order asks for is so.
 func (b *Books) holds(a Action, now time.Time) {
 	key := KeyOf(a.Adapter)
@@ -297,22 +303,22 @@
 		b.slot(key).state = loaded
 	case Confirm:
 		if s != nil {
+			b.perhaps = b.perhaps || s.unsure
 			b.learn(key, s, now)
 			s.state, s.unsure, s.lastUse = loaded, false, now
 			b.warm.drop(key)
 		}
 	case Evict, ConfirmEvict:
-		// An idle adapter is unloaded at once, which counts as an order. If the count was one more than
-		// known, the order that got no answer had unloaded it.
-		if !b.ahead && (a.Kind == Evict || s != nil && s.unsure) {
-			b.settleCount(a.Expected + 1)
+		// An idle adapter is unloaded at once, which counts as an order. After an order without an answer
+		// either of the two may have unloaded it.
+		if a.Kind == Evict {
+			b.counted(a)
+		} else if s != nil && s.unsure {
+			b.countedOnce(a, s)
 		}
 		delete(b.slots, key)
 		b.warm.add(key)
 	}
-	if b.ahead {
-		b.settleCount(a.Expected)
-	}
 }
 
 // learn takes a load's time into the average, if it is known well: the question before found the load
@@ -339,16 +345,28 @@
 	}
 }
 
-// conflict takes in that the engine's count is another one. After an order without an answer it may
-// be one more than known; otherwise a report has to tell.
+// conflict takes in that the engine's count is not the expected one. If orders without an answer explain
+// that, the count is one more at least. If not, or if an order from before the last report can have been
+// carried out, a report has to tell.
 func (b *Books) conflict(a Action, now time.Time) {
-	s := b.slot(KeyOf(a.Adapter))
-	if s != nil && s.unsure && !b.ahead {
-		b.ahead = true
-		s.poll = now
+	if a.Adapter.Name == "" || b.strays || !b.perhaps && !b.unsure() {
+		b.Doubt(now)
 		return
 	}
-	b.Doubt(now)
+	b.accepted, b.perhaps = a.Expected+1, false
+	if s := b.slot(KeyOf(a.Adapter)); s != nil {
+		s.poll = now
+	}
+}
+
+// unsure reports whether an order without an answer may have been accepted.
+func (b *Books) unsure() bool {
+	for _, s := range b.slots {
+		if s.unsure {
+			return true
+		}
+	}
+	return false
 }
 
 // postpone asks again a little later.
@@ -369,10 +387,11 @@
 		return
 	case Load:
 		b.begin(key, a, now)
-		b.slot(key).unsure = true
+		s := b.slot(key)
+		s.unsure, s.expected = true, a.Expected
 	case Evict:
 		if s := b.slot(key); s != nil {
-			s.state, s.unsure, s.ordered = leaving, true, now
+			s.state, s.unsure, s.expected, s.ordered = leaving, true, a.Expected, now
 		}
 	}
 	if s := b.slot(key); s != nil {
--- /dev/null
+++ b/test/soak/callers_test.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/mallowlink/mallowlink/platform/standin"
+)
+
+// kind is a kind of request.
+type kind struct {
+	name   string
+	prefix string
+	// events is the length of the stream, 0 for plain answers.
+	events int
+	// once says that the request must not run twice.
+	once   bool
+	budget time.Duration
+	tokens int64
+	weight int
+}
+
+var kinds = []kind{
+	{name: "stream", prefix: streamPrefix, events: streamEvents, once: true, budget: 4 * time.Second, tokens: 110, weight: 4},
+	{name: "resume", prefix: resumePrefix, events: streamEvents, budget: 4 * time.Second, tokens: 110, weight: 2},
+	{name: "once", prefix: oncePrefix, once: true, budget: 1500 * time.Millisecond, tokens: 1, weight: 2},
+	{name: "safe", prefix: safePrefix, budget: 1500 * time.Millisecond, tokens: 1, weight: 2},
+}
+
+// attempt is one request of a caller and its end.
+type attempt struct {
+	id      string
+	kind    kind
+	account string
+	key     string
+	adapter string
+	vm      *vm
+	prefix  string
+	sent    time.Time
+	ended   time.Time
+	// status is 0 if no head of an answer has arrived.
+	status int
+	// whole says that the answer ended as its protocol has it; body is what has arrived.
+	whole      bool
+	body       []byte
+	signature  string
+	retryAfter time.Duration
+	gaveUp     bool
+	err        error
+}
+
+// ok reports whether the request was answered by its own whole answer.
+func (a *attempt) ok() bool { return a.status == http.StatusOK && a.whole }
+
+// promised reports whether the answer promises that the request has not run and never will.
+func (a *attempt) promised() bool {
+	switch a.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// callers send requests and keep how they ended.
+type callers struct {
+	w *world
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	attempts []*attempt
+	extra    []string // prefixes of routes that were added
+	keys     map[string]string
+}
+
+func newCallers(w *world) *callers {
+	c := &callers{w: w, keys: map[string]string{}}
+	for _, a := range w.accounts {
+		c.keys[a.name] = a.key
+	}
+	return c
+}
+
+func (c *callers) all() []*attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*attempt(nil), c.attempts...)
+}
+
+// setKey makes callers of an account use another key.
+func (c *callers) setKey(account, key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keys[account] = key
+}
+
+// run sends requests, one after the other, until ctx ends.
+func (c *callers) run(ctx context.Context, n int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(n)+100))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	for i := 0; ctx.Err() == nil; i++ {
+		a := c.draw(random, fmt.Sprintf("c%d-%d", n, i))
+		c.send(ctx, client, a, random.IntN(20) == 0)
+		if a.promised() && ctx.Err() == nil {
+			sleep(ctx, min(a.retryAfter, a.kind.budget/3))
+			again := *a
+			again.id, again.vm = a.id+"r", c.pickVM(random)
+			again.status, again.whole, again.body, again.err = 0, false, nil, nil
+			c.send(ctx, client, &again, false)
+		}
+		sleep(ctx, time.Duration(20+random.IntN(60))*time.Millisecond)
+	}
+	client.CloseIdleConnections()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// draw returns the next request of a caller.
+func (c *callers) draw(random *rand.Rand, id string) *attempt {
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	n := random.IntN(total)
+	chosen := kinds[0]
+	for _, k := range kinds {
+		if n -= k.weight; n < 0 {
+			chosen = k
+			break
+		}
+	}
+	a := &attempt{id: id, kind: chosen, prefix: chosen.prefix, vm: c.pickVM(random)}
+	a.account = c.w.accounts[random.IntN(len(c.w.accounts))].name
+	if chosen.events > 0 {
+		// Low numbers come more often.
+		a.adapter = fmt.Sprintf("a%d", min(random.IntN(adapterCount), random.IntN(adapterCount)))
+	}
+	c.mu.Lock()
+	a.key = c.keys[a.account]
+	c.mu.Unlock()
+	return a
+}
+
+// pickVM returns a VM in rotation, or any if there is none.
+func (c *callers) pickVM(random *rand.Rand) *vm {
+	var list []*vm
+	for _, v := range c.w.vms {
+		if v.inRotation() {
+			list = append(list, v)
+		}
+	}
+	if len(list) == 0 {
+		list = c.w.vms
+	}
+	return list[random.IntN(len(list))]
+}
+
+// send makes one request and keeps how it ended.
+func (c *callers) send(ctx context.Context, client *http.Client, a *attempt, leave bool) {
+	budget := a.kind.budget
+	if leave {
+		budget /= 20
+	}
+	// Requests under way are finished when the callers stop.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), budget)
+	defer cancel()
+	a.sent = time.Now()
+	c.exchange(ctx, client, a)
+	a.ended = time.Now()
+	a.gaveUp = leave && !a.ok()
+	c.mu.Lock()
+	c.attempts = append(c.attempts, a)
+	c.mu.Unlock()
+}
+
+func (c *callers) exchange(ctx context.Context, client *http.Client, a *attempt) {
+	method, body := http.MethodPost, "order "+a.id
+	if a.kind.name == "safe" {
+		method, body = http.MethodGet, ""
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.vm.callers+a.prefix+"x", bytes.NewBufferString(body))
+	if err != nil {
+		a.err = err
+		return
+	}
+	// Without it, the client would send the request again by itself.
+	req.GetBody = nil
+	req.Host = hostName
+	req.Header.Set("X-Attempt-Id", a.id)
+	req.Header.Set("X-Key", a.key)
+	req.Header.Set("X-Tenant", "forged")
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(a.kind.budget.Milliseconds(), 10))
+	if a.adapter != "" {
+		req.Header.Set("X-Model", modelName+"/"+a.adapter)
+		req.Header.Set("X-Token-Count", "100,10")
+		req.Header.Set("X-Prompt-Prefix", "aa:60,"+a.id+":40")
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		a.err = err
+		return
+	}
+	defer func() { _ = res.Body.Close() }()
+	a.status, a.signature = res.StatusCode, res.Header.Get("X-Response-Signature")
+	if seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
+		a.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	a.body, a.err = io.ReadAll(res.Body)
+	a.whole = a.err == nil
+}
+
+// expected returns the body of the request's answer.
+func (a *attempt) expected() []byte { return standin.Body(a.id, a.kind.events) }
--- /dev/null
+++ b/test/soak/proxy_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// way is what a proxy does with what passes.
+type way struct {
+	// refuse closes new connections at once.
+	refuse bool
+	// silent passes nothing on, in either direction; halfSilent nothing towards the server.
+	silent, halfSilent bool
+	// delay holds each piece up.
+	delay time.Duration
+}
+
+// proxy passes connections on to a server, with the faults of the network between.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	way   way              // guarded by mu
+	conns map[net.Conn]any // guarded by mu
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]any{}}
+	go p.accept()
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.reset()
+	})
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(w way) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.way = w
+}
+
+func (p *proxy) now() way {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.way
+}
+
+// reset closes every open connection.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.now().refuse {
+			_ = in.Close()
+			continue
+		}
+		go p.pass(in)
+	}
+}
+
+func (p *proxy) pass(in net.Conn) {
+	out, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[in], p.conns[out] = nil, nil
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(out, in, true) })
+	both.Go(func() { p.copy(in, out, false) })
+	both.Wait()
+	_, _ = in.Close(), out.Close()
+	p.mu.Lock()
+	delete(p.conns, in)
+	delete(p.conns, out)
+	p.mu.Unlock()
+}
+
+// copy passes on what is read until either side ends. What is read while the proxy is silent is lost.
+func (p *proxy) copy(to, from net.Conn, towardsServer bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		w := p.now()
+		time.Sleep(w.delay)
+		lost := w.silent || w.halfSilent && towardsServer
+		if lost {
+			// A silent connection stays so: bytes that come later must not follow those that were lost.
+			for err == nil {
+				_, err = from.Read(buffer)
+			}
+		}
+		if n > 0 && !lost {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				err = failed
+			}
+		}
+		if err != nil {
+			_, _ = to.Close(), from.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,195 @@
+// Package soak runs the real programs as separate processes, strikes them with faults from outside, and
+// checks the promises of the users' pages from what callers and endpoints see.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seedFlag  = flag.Uint64("soak-seed", 0, "seed to play, 0 for the list of the tests")
+	seedsFlag = flag.Int("soak-seeds", 0, "number of seeds to play from soak-seed on")
+	vmsFlag   = flag.Int("soak-vms", 4, "number of VMs")
+	forFlag   = flag.Duration("soak-for", 12*time.Second, "how long faults strike")
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "mallowlink-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "mallowlinkd")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/mallowlinkd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// plan says what a run does.
+type plan struct {
+	seed    uint64
+	vms     int
+	callers int
+	// calm is the time before faults and after them, struck the time in which they come, each after a pause.
+	calm, struck, pause time.Duration
+}
+
+// play runs a deployment by a plan and returns the promises that were broken.
+func play(t *testing.T, p plan) ([]string, *world, *callers) {
+	w := newWorld(t, binary, p.seed, p.vms)
+	c, ch := newCallers(w), newChanges()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var loops sync.WaitGroup
+	for _, v := range w.vms {
+		w.start(v)
+		loops.Go(func() { w.balance(ctx, v) })
+	}
+	w.awaitReady()
+	var calls sync.WaitGroup
+	calling, stop := context.WithCancel(ctx)
+	for n := range p.callers {
+		calls.Go(func() { c.run(calling, n, p.seed) })
+	}
+	sleep(ctx, p.calm)
+	if p.struck > 0 {
+		x := &chaos{w: w, callers: c, changes: ch, random: rand.New(rand.NewPCG(p.seed, 3))}
+		striking, end := context.WithTimeout(ctx, p.struck)
+		x.run(striking, p.pause)
+		end()
+	}
+	sleep(ctx, recovery)
+	recovered := time.Now()
+	sleep(ctx, p.calm)
+	stop()
+	calls.Wait()
+	broken := check(w, c, ch)
+	broken = append(broken, served(c, recovered)...)
+	cancel()
+	loops.Wait()
+	return broken, w, c
+}
+
+// recovery is the time within which a deployment must serve again after its faults.
+const recovery = 6 * time.Second
+
+// leastServed is the share of the requests that are served once a deployment has recovered. Those of the
+// account beyond its limit are not counted.
+const leastServed = 0.95
+
+func served(c *callers, from time.Time) []string {
+	total, ok := 0, 0
+	for _, a := range c.all() {
+		if a.sent.Before(from) || a.gaveUp || a.account == "limited" && a.status == 429 || a.account == "small" && a.status == 429 {
+			continue
+		}
+		total++
+		if a.ok() {
+			ok++
+		}
+	}
+	if float64(ok) < leastServed*float64(total) || total == 0 {
+		return []string{fmt.Sprintf("recover: %d of %d requests were served after the faults", ok, total)}
+	}
+	return nil
+}
+
+// awaitReady waits until every VM is in rotation.
+func (w *world) awaitReady() {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool {
+		for _, v := range w.vms {
+			if !v.inRotation() {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 50*time.Millisecond)
+}
+
+// report fails the test with what was broken and what had struck.
+func report(t *testing.T, broken []string, w *world, c *callers) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, a := range c.all() {
+		switch {
+		case a.ok():
+			counts["served"]++
+		case a.gaveUp:
+			counts["gave up"]++
+		default:
+			counts[fmt.Sprint(a.status)]++
+		}
+	}
+	t.Logf("requests by end: %v", counts)
+	if len(broken) == 0 {
+		return
+	}
+	for _, line := range w.faults.list(w.begun) {
+		t.Log(line)
+	}
+	for i, line := range broken {
+		if i == 20 {
+			t.Errorf("and %d more", len(broken)-i)
+			break
+		}
+		t.Error(line)
+	}
+}
+
+// Without faults every request is served and no promise broken.
+func TestCalm(t *testing.T) {
+	broken, w, c := play(t, plan{seed: 1, vms: 3, callers: 12, calm: 3 * time.Second})
+	report(t, broken, w, c)
+	for _, v := range w.vms {
+		state, err := v.state()
+		require.NoError(t, err)
+		require.Equal(t, true, state["ready"])
+	}
+}
+
+// regressions are seeds that have failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestFaults plays seeds of random faults: those that have failed once, and one more.
+func TestFaults(t *testing.T) {
+	seeds := []uint64{1}
+	for _, r := range regressions {
+		seeds = append(seeds, r.seed)
+	}
+	if *seedFlag > 0 {
+		seeds = nil
+		for i := range max(*seedsFlag, 1) {
+			seeds = append(seeds, *seedFlag+uint64(i))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			broken, w, c := play(t, plan{seed: seed, vms: *vmsFlag, callers: 16, calm: 2 * time.Second, struck: *forFlag, pause: 1200 * time.Millisecond})
+			report(t, broken, w, c)
+		})
+	}
+}
