--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -76,7 +76,6 @@
 	// The fields below are guarded by mu.
 
 	attempts []*attempt
-	extra    []string // prefixes of routes that were added
 	keys     map[string]string
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -154,9 +154,6 @@
 	return w
 }
 
-// since returns the time from the start of the world, for logs.
-func (w *world) since() time.Duration { return time.Since(w.begun).Round(time.Millisecond) }
-
 // draw returns a random number below n.
 func (w *world) draw(n int) int {
 	w.mu.Lock()
