Count what was spent before a limit was lowered against the old limit only

Ruled out: absent VMs (none), tokens stranded in the VMs' stocks (0 to 300 held when refused). Change: for one window after a limit was lowered, what was spent since counts against the lower limit and all that was spent in the window against the old one; the one with less room decides.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -55,6 +55,10 @@
 type account struct {
 	policy Policy
 	limit  Limit
+	// before is the limit that held until lowered, when the present one was found to be lower. lowered is
+	// zero once the present limit has held for a window.
+	before  Limit
+	lowered time.Time
 	// uses are by incarnation.
 	uses map[string]*vmUse
 	// total is the number of VMs.
@@ -78,13 +82,47 @@
 	return &account{policy: p, limit: l, total: n, uses: map[string]*vmUse{}, told: map[string]bool{}}
 }
 
-// used returns what counts against the limit at now.
-func (a *account) used(now time.Time) float64 {
+// setLimit takes in the limit in force. What was spent before a limit was lowered does not count against
+// the lower one.
+func (a *account) setLimit(l Limit, now time.Time) {
+	switch before, after := a.policy.within(a.limit), a.policy.within(l); {
+	case after < before:
+		a.before, a.lowered = a.limit, now
+	case after > before, now.Sub(a.lowered) > a.policy.Window+binWidth:
+		a.lowered = time.Time{}
+	}
+	a.limit = l
+}
+
+// standing is how an account stands against a limit.
+type standing struct {
+	limit Limit
+	// used is what counts against the limit, lent what may be handed out under it within a window.
+	used, lent float64
+}
+
+func (s standing) room() float64 { return s.lent - s.used }
+
+// stands returns how the account stands against the limit that leaves it the least room.
+func (a *account) stands(now time.Time) standing {
+	present := a.against(a.limit, a.lowered, now)
+	if a.lowered.IsZero() {
+		return present
+	}
+	if before := a.against(a.before, time.Time{}, now); before.room() < present.room() {
+		return before
+	}
+	return present
+}
+
+// against returns how the account stands against a limit that has held since a moment; zero stands for the
+// whole window.
+func (a *account) against(l Limit, since, now time.Time) standing {
 	total := int64(0)
 	for _, u := range a.uses {
-		total += u.spent.sum(now) + u.holds(now)
+		total += u.spent.sumSince(since, now) + u.holds(now)
 	}
-	return float64(total) + a.absent*a.policy.within(a.limit)
+	return standing{limit: l, used: float64(total) + a.absent*a.policy.within(l), lent: a.policy.lent(l)}
 }
 
 // holds returns what the process may still spend.
@@ -108,12 +146,11 @@
 func (a *account) settle(req Request, now time.Time) Reply {
 	a.forget(now)
 	u := a.learn(req, now)
-	used := a.used(now)
-	lent := a.policy.lent(a.limit)
-	room := int64(math.Floor(lent - used))
+	stands := a.stands(now)
+	room := int64(math.Floor(stands.room()))
 	reply := Reply{
-		Tokens: a.choose(req, room), Excess: used >= a.policy.within(a.limit),
-		Used: used, Lent: lent, Absent: a.absent,
+		Tokens: a.choose(req, room), Excess: stands.used >= a.policy.within(stands.limit),
+		Used: stands.used, Lent: stands.lent, Absent: a.absent,
 	}
 	if reply.Tokens < req.Need {
 		reply.RetryAfter = a.retry(req.Need - max(room, 0))
--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -224,3 +224,40 @@
 	require.True(t, Request{Want: maxTokens + 1}.malformed())
 	require.False(t, Request{Spent: []int64{1, 2}, Need: 3}.malformed())
 }
+
+// An account whose limit is lowered far below what it has just spent goes on at the lower limit at once,
+// rather than being refused until its past spending has left the window. Windows that begin after the
+// change keep to the lower limit, earlier ones to the old.
+func TestALoweredLimitCountsFromItsChange(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 1)
+	home.told = map[string]bool{"a": true}
+	v := newVM("a", now.Add(-time.Minute))
+	var before, after []spending
+	pay := func(list *[]spending) bool {
+		now = now.Add(50 * time.Millisecond)
+		ok := v.try(home, 500, now)
+		if ok {
+			*list = append(*list, spending{now, 500})
+		}
+		return ok
+	}
+	for range 400 {
+		pay(&before)
+	}
+	lower := Limit{Rate: testLimit.Rate / 5, Burst: testLimit.Burst / 5}
+	home.setLimit(lower, now)
+	served := 0
+	for range 20 {
+		if pay(&after) {
+			served++
+		}
+	}
+	require.Greater(t, served, 10, "of 20 requests of the first second after the change")
+	for range 600 {
+		pay(&after)
+	}
+	lowest := testPolicy.within(lower) + testPolicy.tolerated(lower)
+	require.LessOrEqual(t, float64(mostWithinWindow(after)), lowest)
+	require.LessOrEqual(t, float64(mostWithinWindow(append(before, after...))), bound())
+}
--- a/pkg/allowance/home.go
+++ b/pkg/allowance/home.go
@@ -166,8 +166,8 @@
 	if a == nil || !known || req.malformed() {
 		return Reply{NotHome: true}
 	}
-	a.limit = limit
 	now := time.Now()
+	a.setLimit(limit, now)
 	a.learn(req, now)
 	a.absent = h.absentShare(a)
 	reply := a.settle(req, now)
--- a/pkg/allowance/ring.go
+++ b/pkg/allowance/ring.go
@@ -59,6 +59,20 @@
 	return total
 }
 
+// sumSince returns what was spent after a moment, at the resolution of the bins: what was spent shortly
+// before it may be included.
+func (r *ring) sumSince(from, now time.Time) int64 {
+	r.advance(now)
+	total := int64(0)
+	for i, n := range r.bins {
+		if end := r.start.Add(-time.Duration(i-1) * binWidth); !end.After(from) {
+			break
+		}
+		total += n
+	}
+	return total
+}
+
 // copyBins returns the bins as of now.
 func (r *ring) copyBins(now time.Time) []int64 {
 	r.advance(now)
