Take no requests while leases wait to be handed over; let VMs without leases drain at once

On fleets of more than eight VMs most are no stewards: their manager never runs, so the wait lasted until 0.6 s before SIGKILL (log of edge-salt-lake-7: drain_started at 1.0 s, handover_incomplete at 8.4 s). Ruled out: connections that stay open without a request (the listener itself was open). Change: leases are handed over while the balancer is waited for, requests are taken for 2.5 s at most, and a VM without leases has nothing to wait for. A stopping VM does not become a steward. Tests: TestNoRequestIsTakenWhileLeasesWait, TestAVMWithoutLeasesDrainsAtOnce.

--- /dev/null
+++ b/pkg/gatewayd/drain_test.go
@@ -0,0 +1,52 @@
+package gatewayd
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+)
+
+// grace is the time that a stopping process has in the tests.
+const grace = 7 * time.Second
+
+// A process whose leases cannot be handed over stops taking requests all the same: one taken shortly before
+// SIGKILL would be cut.
+func TestNoRequestIsTakenWhileLeasesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, _ := test.NewNullLogger()
+		begun := time.Now()
+		var closed time.Duration
+		ctx, cancel := context.WithTimeout(t.Context(), grace)
+		defer cancel()
+		drain{
+			handOver: func(ctx context.Context) error {
+				<-ctx.Done()
+				return ctx.Err()
+			},
+			shutDown: func(context.Context) error {
+				closed = time.Since(begun)
+				return nil
+			},
+			log: log,
+		}.run(ctx)
+		require.Equal(t, balancerWait, closed)
+		require.Equal(t, grace, time.Since(begun), "the leases are handed over until the end")
+	})
+}
+
+// A VM without leases has nothing to hand over, and does not become a steward while it stops.
+func TestAVMWithoutLeasesDrainsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, _ := test.NewNullLogger()
+		s := &stewards{log: log, vms: map[string]seenVM{}}
+		begun := time.Now()
+		require.NoError(t, s.drain(t.Context()))
+		require.Zero(t, time.Since(begun))
+		require.False(t, s.begin())
+		require.False(t, s.active())
+	})
+}
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -33,9 +33,6 @@
 	// descriptorsKept are the descriptors that callers' connections leave to others: to endpoints, to
 	// other VMs, to the store, and to files.
 	descriptorsKept = 1500
-	// balancerWait is how long a stopping process still takes new connections: the balancer notices
-	// within two of its questions.
-	balancerWait = 2500 * time.Millisecond
 	// sweepPause is the time between two passes over idle connections to endpoints.
 	sweepPause = time.Second
 	// logFlush bounds the wait for the last lines of the log.
@@ -203,14 +200,11 @@
 	p.parts.Gateway.Drain()
 	ctx, cancel := context.WithTimeout(ctx, p.parts.Live.bounds().Grace-stopMargin)
 	defer cancel()
-	if err := p.parts.Fleet.leases.Drain(ctx); err != nil {
-		p.parts.Log.WithFields(logrus.Fields{"event": "handover_incomplete", "error": err.Error()}).Warn()
-	}
-	pause(ctx, balancerWait-time.Since(begun))
-	// No request is taken any more: one that came now could be cut.
-	if err := p.parts.Servers.callers.Shutdown(ctx); err != nil {
-		p.parts.Log.WithFields(logrus.Fields{"event": "drain_cut", "error": err.Error()}).Warn()
-	}
+	drain{
+		handOver: p.parts.Fleet.stewards.drain,
+		shutDown: p.parts.Servers.callers.Shutdown,
+		log:      p.parts.Log,
+	}.run(ctx)
 	p.parts.Fleet.leases.Release()
 	cut := p.parts.Gateway.Running()
 	p.close()
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -42,7 +42,9 @@
 	mu sync.RWMutex
 	// The fields below are guarded by mu.
 
-	running   bool
+	running bool
+	// draining says that the process is stopping: it does not become a steward any more.
+	draining  bool
 	directory lease.Directory
 	known     bool
 	vms       map[string]seenVM
@@ -162,9 +164,9 @@
 		s.run(ctx)
 		return
 	}
-	s.mu.Lock()
-	s.running = true
-	s.mu.Unlock()
+	if !s.begin() {
+		return
+	}
 	s.log.WithField("event", "steward").Info()
 	var loops sync.WaitGroup
 	loops.Go(func() { s.members.Run(ctx) })
@@ -172,6 +174,26 @@
 	loops.Wait()
 }
 
+// begin makes this VM a steward, unless its process is stopping.
+func (s *stewards) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = !s.draining
+	return s.running
+}
+
+// drain hands the leases over. A VM that is no steward has none.
+func (s *stewards) drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	running := s.running
+	s.mu.Unlock()
+	if !running {
+		return nil
+	}
+	return s.leases.Drain(ctx)
+}
+
 // hesitation returns how long this VM waits before it looks whether it is needed.
 func (s *stewards) hesitation() time.Duration {
 	return time.Duration(float64(volunteerStep+rand.N(volunteerSpread)) / max(s.self.Cores, 0.05))
