--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -95,6 +95,8 @@
 	Claims(id, incarnation string) []membership.Claim
 	// Announce tells the other VMs at once of this VM's claims.
 	Announce()
+	// AskAll asks every VM at once for its word, also those that are not asked regularly.
+	AskAll()
 	// Learn takes in what the table tells of a VM.
 	Learn(seen membership.Sighting)
 }
@@ -209,7 +211,7 @@
 	wait := m.cfg.Period
 	if m.starting(time.Now()) {
 		wait = min(wait, startPeriod)
-		m.fleet.Announce()
+		m.fleet.AskAll()
 	}
 	if until := time.Until(due); !due.IsZero() && until < wait {
 		wait = max(until, minTickGap)
--- a/pkg/lease/manager_test.go
+++ b/pkg/lease/manager_test.go
@@ -183,6 +183,31 @@
 	})
 }
 
+// All VMs of a fleet in which not every VM beats to every other are killed and start again: each must hear
+// from all others before it claims anything, and asks them for that.
+func TestRestartOfALargerFleet(t *testing.T) {
+	names := []string{lease.Budget, "group/a", "group/b", "account/x"}
+	runFleet(t, 11, 10, names, func(f *fleet) {
+		for _, name := range names {
+			f.holder(name, 2*takeoverLimit)
+		}
+		time.Sleep(20 * time.Second)
+		old := f.VMs()
+		for _, v := range old {
+			f.Kill(v)
+		}
+		time.Sleep(time.Second)
+		for _, v := range old {
+			f.Start(v.ID)
+		}
+		begun := time.Now()
+		for _, name := range names {
+			f.holder(name, takeoverLimit)
+		}
+		require.Less(f.t, time.Since(begun), 1500*time.Millisecond, "half of the time after which a claim needs nobody's word")
+	})
+}
+
 // TestStoreComesBackForOneVMOnly has a successor hold the lease without the table when the table
 // answers another VM again: that VM must wait until the successor has stopped.
 func TestStoreComesBackForOneVMOnly(t *testing.T) {
--- a/pkg/membership/partners.go
+++ b/pkg/membership/partners.go
@@ -33,7 +33,7 @@
 // targets returns the VMs to beat to now, and marks them as being beaten to. While the table is down
 // these are all, because leases hang on every VM's word then.
 func (r *Registry) targets() []Member {
-	all := r.status().StoreDown
+	all := r.everyone.Swap(false) || r.status().StoreDown
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	candidates := make([]string, 0, len(r.records))
--- a/pkg/membership/registry.go
+++ b/pkg/membership/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,6 +69,8 @@
 	changed func()
 	// announce asks for heartbeats ahead of time.
 	announce chan struct{}
+	// everyone says that the next heartbeats go to every VM.
+	everyone atomic.Bool
 
 	mu      sync.Mutex
 	records map[string]*record // by VM ID, guarded by mu
@@ -98,6 +101,12 @@
 	}
 }
 
+// AskAll sends heartbeats to every VM at once, not only to partners. It never blocks.
+func (r *Registry) AskAll() {
+	r.everyone.Store(true)
+	r.Announce()
+}
+
 // SetStatus sets the source of this VM's changing status. It must be called before Run.
 func (r *Registry) SetStatus(status func() Status) { r.status = status }
 
