Assume no more to have been spent before a restart than may be lent

A home that starts together with 60 VMs knows a few of them, and took each VM that told it for that part of the fleet: their sum was several times the whole. Change: the home keeps from when on each VM knows its spending and computes the assumption when it needs it, by the number of VMs known then.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -65,6 +65,9 @@
 	total int
 	// told are the VMs that have told what they have spent since this VM became the home.
 	told map[string]bool
+	// covered maps the VMs that have told to the moment from which on they know what they have spent: earlier
+	// processes on them may have spent more within the window.
+	covered map[string]time.Time
 	// absent is the share of the VMs that cannot tell: each of them goes on at its even share of the
 	// limit, and has done so before.
 	absent float64
@@ -79,7 +82,9 @@
 
 // newAccount returns an account whose tokens n VMs spend.
 func newAccount(p Policy, l Limit, n int) *account {
-	return &account{policy: p, limit: l, total: n, uses: map[string]*vmUse{}, told: map[string]bool{}}
+	return &account{
+		policy: p, limit: l, total: n, uses: map[string]*vmUse{}, told: map[string]bool{}, covered: map[string]time.Time{},
+	}
 }
 
 // setLimit takes in the limit in force. What was spent before a limit was lowered does not count against
@@ -122,7 +127,29 @@
 	for _, u := range a.uses {
 		total += u.spent.sumSince(since, now) + u.holds(now)
 	}
-	return standing{limit: l, used: float64(total) + a.absent*a.policy.within(l), lent: a.policy.lent(l)}
+	used := float64(total) + a.absent*a.policy.within(l) + a.assumed(l, since, now)
+	return standing{limit: l, used: used, lent: a.policy.lent(l)}
+}
+
+// assumed returns what earlier processes on the VMs are taken to have spent within the window, after a
+// moment: each the even share, over all VMs and over time, of all that may be lent. The number of VMs is
+// counted when it is needed, because a home that starts together with all VMs gets to know them one by one.
+func (a *account) assumed(l Limit, since, now time.Time) float64 {
+	span := a.policy.Window + binWidth
+	from := now.Add(-span)
+	if since.After(from) {
+		from = since
+	}
+	unknown := time.Duration(0)
+	for vm, covered := range a.covered {
+		if now.Sub(covered) >= span {
+			delete(a.covered, vm)
+			continue
+		}
+		unknown += max(covered.Sub(from), 0)
+	}
+	vms := max(a.total, len(a.told), 1)
+	return a.policy.lent(l) / float64(vms) * unknown.Seconds() / span.Seconds()
 }
 
 // holds returns what the process may still spend.
@@ -163,7 +190,7 @@
 func (a *account) learn(req Request, now time.Time) *vmUse {
 	if !a.told[req.VM] {
 		a.told[req.VM] = true
-		a.assumeBefore(req, now)
+		a.covered[req.VM] = now.Add(-req.Covers)
 	}
 	u := a.uses[req.Incarnation]
 	if u == nil {
@@ -174,21 +201,6 @@
 	return u
 }
 
-// assumeBefore takes an earlier process on a VM to have spent the VM's even share of all that may be lent,
-// for the part of the window that the present process does not cover.
-func (a *account) assumeBefore(req Request, now time.Time) {
-	u := &vmUse{spent: newRing(a.policy.Window)}
-	u.spent.advance(now)
-	share := a.policy.lent(a.limit) / float64(max(a.total, 1)) / float64(len(u.spent.bins))
-	for i := int(req.Covers / binWidth); i < len(u.spent.bins); i++ {
-		u.spent.bins[i] = int64(share)
-	}
-	a.uses[beforePrefix+req.VM] = u
-}
-
-// beforePrefix precedes a VM in the place of its earlier processes.
-const beforePrefix = "before/"
-
 // take replaces what was known of the process.
 func (u *vmUse) take(req Request, now time.Time) {
 	u.spent.advance(now)
--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -166,6 +166,36 @@
 	require.LessOrEqual(t, float64(mostWithinWindow(ran)), bound())
 }
 
+// All VMs of a large fleet are killed and start again, and the new home gets to know them one by one: no
+// more is taken to have been spent than may be lent, so that an account within its limit is served again at
+// once.
+func TestARestartOfAllVMsDoesNotHoldUpAnAccountWithinItsLimit(t *testing.T) {
+	const fleet, knownFirst = 60, 5
+	const share = 0.55
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, knownFirst)
+	vms := make([]*vm, fleet)
+	for i := range vms {
+		vms[i] = newVM(string(rune('A'+i)), now)
+	}
+	now = now.Add(time.Second)
+	served, asked := 0, 0
+	for i := range 600 {
+		now = now.Add(10 * time.Millisecond)
+		if i < fleet {
+			home.total, home.absent = max(knownFirst, i+1), 0
+			vms[i].settle(home, now)
+			require.LessOrEqual(t, home.stands(now).used, home.stands(now).lent, "after %d VMs have told", i+1)
+			continue
+		}
+		asked++
+		if vms[i%fleet].try(home, int64(share*testLimit.Rate/100), now) {
+			served++
+		}
+	}
+	require.Equal(t, asked, served)
+}
+
 // VMs that the home does not hear from go on at their even share, for which the home keeps room.
 func TestVMsWithoutTheHome(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
