Tell callers of an account far over its limit when there will be room

Callers come back once, so that their one repeat was refused, too. Change: the time counts from the negative room.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -180,7 +180,7 @@
 		Used: stands.used, Lent: stands.lent, Absent: a.absent,
 	}
 	if reply.Tokens < req.Need {
-		reply.RetryAfter = a.retry(req.Need - max(room, 0))
+		reply.RetryAfter = a.retry(req.Need - room)
 	}
 	u.held = req.Held + reply.Tokens
 	return reply
--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -291,3 +291,17 @@
 	require.LessOrEqual(t, float64(mostWithinWindow(after)), lowest)
 	require.LessOrEqual(t, float64(mostWithinWindow(append(before, after...))), bound())
 }
+
+// A caller that is refused is told to come back when the account has room for it again, also when more is
+// counted as used than may be lent.
+func TestARefusedCallerComesBackWhenThereIsRoom(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 1)
+	home.told = map[string]bool{"a": true}
+	lent := testPolicy.lent(testLimit)
+	over := Request{VM: "a", Incarnation: "1", Spent: []int64{int64(1.25 * lent)}, Need: 100, Want: 100}
+	reply := home.settle(over, now)
+	require.Zero(t, reply.Tokens)
+	perSecond := lent / testPolicy.Window.Seconds()
+	require.InDelta(t, (0.25*lent+100)/perSecond, reply.RetryAfter.Seconds(), 0.01)
+}
