Trace one request through the logs of several VMs; check the platform's settings file

The gateway's state chart is printed with the others, and a resumed stream takes the transition that the chart has for it; until now it took the one of a repeat.

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -43,7 +43,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newBundleCommand(), newKeyCommand(), newDumpCommand(),
-		newChartCommand(), newCodesCommand(), newDevCommand())
+		newTraceCommand(), newChartCommand(), newCodesCommand(), newDevCommand())
 	return root
 }
 
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -9,6 +9,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/bundle/rollout"
 	"github.com/mallowlink/mallowlink/pkg/chart"
+	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/membership"
 	"github.com/mallowlink/mallowlink/pkg/owner"
@@ -22,6 +23,7 @@
 	list := append(rollout.Charts(), lease.Chart(), membership.Chart())
 	list = append(list, owner.Charts()...)
 	list = append(list, request.Charts()...)
+	list = append(list, gateway.Charts()...)
 	return append(list, scheduler.Charts()...)
 }
 
--- a/pkg/daemon/command/command.go
+++ b/pkg/daemon/command/command.go
@@ -71,13 +71,16 @@
 }
 
 func newCheckCommand() *cobra.Command {
-	var path string
+	var path, nodeFile string
 	cmd := &cobra.Command{
 		Use:     "check",
 		Short:   "Check a settings file without starting anything",
-		Example: "  mallowlinkd check --config /etc/mallowlink/vm.ini",
+		Example: "  mallowlinkd check --config /etc/mallowlink/vm.ini\n  mallowlinkd check --node-file /etc/mallowlink/settings.conf",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if nodeFile != "" {
+				return checkNodeFile(cmd, nodeFile)
+			}
 			s, err := settings.Load(path)
 			if err != nil {
 				return err
@@ -87,10 +90,21 @@
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "", "settings file")
-	_ = cmd.MarkFlagRequired("config")
+	cmd.Flags().StringVar(&nodeFile, "node-file", "", "settings file that the users' platform gives the gateway")
+	cmd.MarkFlagsOneRequired("config", "node-file")
+	cmd.MarkFlagsMutuallyExclusive("config", "node-file")
 	return cmd
 }
 
+func checkNodeFile(cmd *cobra.Command, path string) error {
+	vm, err := platform.Check(path)
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings of VM %s\n", path, vm)
+	return nil
+}
+
 func newRunCommand() *cobra.Command {
 	var path string
 	var alone bool
--- a/pkg/daemon/command/command_test.go
+++ b/pkg/daemon/command/command_test.go
@@ -35,3 +35,14 @@
 	require.Equal(t, 1, Execute([]string{"run"}, &out, &errs))
 	require.Contains(t, errs.String(), "standalone")
 }
+
+func TestCheckOfThePlatformsSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	require.NoError(t, os.WriteFile(path, []byte("node_name=edge-1\nip=10.0.0.1\nport_range=7600\n"), 0o600))
+	var out, errs bytes.Buffer
+	require.Equal(t, 1, Execute([]string{"check", "--node-file", path}, &out, &errs))
+	require.Contains(t, errs.String(), path)
+	require.Contains(t, errs.String(), "zone is missing")
+	require.Contains(t, errs.String(), `port_range: "7600" is not two ports in order`)
+	require.Empty(t, out.String())
+}
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -160,6 +160,7 @@
 	event := c.repeat(broken)
 	if event == eventAgain && c.relay.begun {
 		c.g.meters.resumed.Inc(1)
+		return eventResume
 	}
 	return event
 }
