--- a/pkg/ctl/trace.go
+++ b/pkg/ctl/trace.go
@@ -82,7 +82,7 @@
 }
 
 // subjects are the fields that name what a line is about.
-var subjects = []string{"vm", "endpoint", "account", "owner"}
+var subjects = []string{"vm", "endpoint", "account", "adapter", "owner"}
 
 // traceRequest returns the lines of a request, and those about what it met within the time around it that
 // are of no other request.
@@ -106,7 +106,7 @@
 	}
 	from, to := found[0].Time.Add(-around), found[len(found)-1].Time.Add(around)
 	for _, line := range lines {
-		if line.Fields["id"] == "" && !line.Time.Before(from) && !line.Time.After(to) && about(line, met) {
+		if _, request := line.Fields["id"]; !request && !line.Time.Before(from) && !line.Time.After(to) && about(line, met) {
 			found = append(found, line)
 		}
 	}
@@ -114,14 +114,13 @@
 	return found
 }
 
-// about reports whether a line is about one of the subjects. A VM's own lines about endpoints or accounts
-// that the request has not met are left out.
+// about reports whether a line is about one of the subjects. A VM's own lines about endpoints, accounts or
+// adapters that the request has not met are left out.
 func about(line eventlog.Line, met map[string]bool) bool {
-	if endpoint := line.Fields["endpoint"]; endpoint != "" {
-		return met[endpoint]
-	}
-	if account := line.Fields["account"]; account != "" {
-		return met[account]
+	for _, field := range []string{"endpoint", "account", "adapter"} {
+		if subject := line.Fields[field]; subject != "" {
+			return met[subject]
+		}
 	}
 	return met[line.Fields["vm"]]
 }
--- a/pkg/ctl/trace_test.go
+++ b/pkg/ctl/trace_test.go
@@ -16,6 +16,8 @@
 time=2026-12-04T03:00:02Z level=warning event=request code=2003 end=refused id=r2 vm=vm-1
 time=2026-12-04T03:00:02Z level=warning event=endpoint_avoided endpoint=e1 vm=vm-1 why=silent
 time=2026-12-04T03:00:02Z level=warning event=endpoint_avoided endpoint=e7 vm=vm-1 why=silent
+time=2026-12-04T03:00:02Z level=info event=adapter_version adapter=a9 version=2 vm=vm-1
+time=2026-12-04T03:00:02Z level=warning event=request cause="the key is not known" id="" vm=vm-1
 panic: something that is no line
 `
 	secondLog = `time=2026-12-04T03:00:02.5Z level=warning event=store_down vm=vm-2
