Record what accounts have spent with each renewal, for homes after a restart of all VMs

Cause: a home that starts with all VMs took what was spent before for evenly spread over the window; the account had spent it shortly before. Change: lease.Config.Note, written in the same transaction as a renewal and passed to the next holder with its grant; the home of an account writes down what was spent by bins of the window. A later home takes that, and up to twice the busiest time between two records, for what VMs cannot tell. No further calls to the store. Also: parts of a stream are signs of life of its engine, and the expected time to the first token is no silence.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -68,6 +68,10 @@
 	// covered maps the VMs that have told to the moment from which on they know what they have spent: earlier
 	// processes on them may have spent more within the window.
 	covered map[string]time.Time
+	// past is what all VMs had spent in each bin by the record of an earlier home, the newest first; nil if
+	// there is no record. unrecorded is what they may have spent after it.
+	past       []int64
+	unrecorded float64
 	// absent is the share of the VMs that cannot tell: each of them goes on at its even share of the
 	// limit, and has done so before.
 	absent float64
@@ -132,24 +136,23 @@
 }
 
 // assumed returns what earlier processes on the VMs are taken to have spent within the window, after a
-// moment: each the even share, over all VMs and over time, of all that may be lent. The number of VMs is
-// counted when it is needed, because a home that starts together with all VMs gets to know them one by one.
+// moment: each the even share of what all have, by the record of an earlier home. The number of VMs is counted
+// when it is needed, because a home that starts together with all VMs gets to know them one by one.
 func (a *account) assumed(l Limit, since, now time.Time) float64 {
 	span := a.policy.Window + binWidth
 	from := now.Add(-span)
 	if since.After(from) {
 		from = since
 	}
-	unknown := time.Duration(0)
+	total := 0.0
 	for vm, covered := range a.covered {
 		if now.Sub(covered) >= span {
 			delete(a.covered, vm)
 			continue
 		}
-		unknown += max(covered.Sub(from), 0)
+		total += a.pastSince(from, covered)
 	}
-	vms := max(a.total, len(a.told), 1)
-	return a.policy.lent(l) / float64(vms) * unknown.Seconds() / span.Seconds()
+	return min(total/float64(max(a.total, len(a.told), 1)), a.policy.lent(l))
 }
 
 // holds returns what the process may still spend.
--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -196,6 +196,101 @@
 	require.Equal(t, asked, served)
 }
 
+// An account that was quiet spends all it may within seconds. Then all VMs are killed and start again: by the
+// record that the home wrote down up to a renewal before, the bound holds across the restart, and once the
+// spending leaves the window the account goes on.
+func TestARestartAfterABurstLetsNoMoreThrough(t *testing.T) {
+	const step, renewal, quietFor, burstFor = 5 * time.Millisecond, 1200 * time.Millisecond, 6 * time.Second, 4 * time.Second
+	names := []string{"a", "b", "c", "d"}
+	now := time.Unix(1_700_000_000, 0)
+	var ran []spending
+	home := newAccount(testPolicy, testLimit, len(names))
+	var vms []*vm
+	for _, name := range names {
+		home.told[name] = true
+		vms = append(vms, newVM(name, now))
+	}
+	written := home.record(now)
+	writtenAt := now
+	spend := func(i int) bool {
+		ok := vms[i%len(vms)].try(home, 400, now)
+		if ok {
+			ran = append(ran, spending{now, 400})
+		}
+		return ok
+	}
+	for i := range int((quietFor + burstFor) / step) {
+		now = now.Add(step)
+		if now.Sub(writtenAt) >= renewal {
+			written, writtenAt = home.record(now), now
+		}
+		if i > int(quietFor/step) {
+			spend(i)
+		}
+	}
+	now = now.Add(time.Second)
+	for i, v := range vms {
+		vms[i] = newVM(v.id, now)
+	}
+	now = now.Add(700 * time.Millisecond)
+	home = newAccount(testPolicy, testLimit, 1)
+	home.adopt(written)
+	for i, v := range vms {
+		home.total, home.absent = i+1, 0
+		v.settle(home, now)
+	}
+	before := len(ran)
+	for i := range int(12 * time.Second / step) {
+		now = now.Add(step)
+		spend(i)
+	}
+	require.LessOrEqual(t, float64(mostWithinWindow(ran)), bound())
+	require.Greater(t, float64(len(ran)-before)*400, 0.9*testPolicy.within(testLimit))
+}
+
+// A steady account within its limit is served on after a restart of all VMs, by the record as without.
+func TestARestartByTheRecordDoesNotHoldUpASteadyAccount(t *testing.T) {
+	const step, share = 10 * time.Millisecond, 0.55
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 2)
+	home.told = map[string]bool{"a": true, "b": true}
+	vms := []*vm{newVM("a", now), newVM("b", now)}
+	tokens := int64(share * testLimit.Rate * step.Seconds())
+	for i := range 2000 {
+		now = now.Add(step)
+		require.True(t, vms[i%2].try(home, tokens, now))
+	}
+	written := home.record(now)
+	now = now.Add(1200*time.Millisecond + time.Second)
+	vms = []*vm{newVM("a", now), newVM("b", now)}
+	now = now.Add(700 * time.Millisecond)
+	home = newAccount(testPolicy, testLimit, 2)
+	home.adopt(written)
+	for _, v := range vms {
+		home.absent = 0
+		v.settle(home, now)
+	}
+	served := 0
+	for i := range 1000 {
+		now = now.Add(step)
+		if vms[i%2].try(home, tokens, now) {
+			served++
+		}
+	}
+	require.Equal(t, 1000, served)
+}
+
+func TestARecordThatCannotBeReadIsRefused(t *testing.T) {
+	_, recorded, err := decodeRecord(nil)
+	require.NoError(t, err)
+	require.False(t, recorded)
+	for _, note := range []string{"", "{", `{"spent":[-1]}`, `{"spent":"x"}`} {
+		_, recorded, err := decodeRecord([]byte(note))
+		require.Error(t, err, note)
+		require.False(t, recorded)
+	}
+}
+
 // VMs that the home does not hear from go on at their even share, for which the home keeps room.
 func TestVMsWithoutTheHome(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/pkg/allowance/home.go
+++ b/pkg/allowance/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"sync"
 	"time"
@@ -78,10 +79,19 @@
 	limit, _ := h.cfg.Limits(name)
 	members := h.cfg.Fleet.Members()
 	a := newAccount(h.cfg.Policy, limit, len(members))
+	earlier, recorded, err := decodeRecord(grant.Note)
+	if err != nil {
+		h.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "account_record_malformed", "account": name}).Error()
+	}
+	if recorded {
+		a.adopt(earlier)
+	}
 	h.mu.Lock()
 	h.accounts[name] = a
 	h.mu.Unlock()
-	h.cfg.Log.WithFields(logrus.Fields{"event": "account_home", "account": name, "fencing": grant.Fencing}).Info()
+	h.cfg.Log.WithFields(logrus.Fields{
+		"event": "account_home", "account": name, "fencing": grant.Fencing, "recorded": recorded, "unrecorded": a.unrecorded,
+	}).Info()
 	if h.nothingSpent() {
 		return
 	}
@@ -92,6 +102,26 @@
 	}
 }
 
+// Note returns the record of an account whose lease this VM holds, for the next home; nil for other leases.
+func (h *Home) Note(leaseName string) []byte {
+	name, ok := strings.CutPrefix(leaseName, lease.AccountPrefix)
+	if !ok {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[name]
+	if a == nil {
+		return nil
+	}
+	note, err := json.Marshal(a.record(time.Now()))
+	if err != nil {
+		h.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "account_not_recorded", "account": name}).Error()
+		return nil
+	}
+	return note
+}
+
 // nothingSpent reports whether no VM can have spent anything before this process started.
 func (h *Home) nothingSpent() bool {
 	return h.cfg.FirstStart && time.Since(h.cfg.Started) < h.cfg.Policy.Window
--- /dev/null
+++ b/pkg/allowance/record.go
@@ -0,0 +1,93 @@
+package allowance
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// record is what an account's home writes down with each renewal of its lease, so that a later home knows
+// what was spent before a restart of VMs that could tell it.
+type record struct {
+	// Spent is what all VMs have spent, or may have, in each bin of the window, the newest first.
+	Spent []int64 `json:"spent"`
+}
+
+const (
+	// recordBins are the bins between two renewals of a lease, rounded up.
+	recordBins = 3
+	// recordGrowth is how many times more than in the busiest time before VMs may have spent after the last
+	// record.
+	recordGrowth = 2
+)
+
+// record returns what to write down of the account at now.
+func (a *account) record(now time.Time) record {
+	bins := make([]float64, a.policy.Window/binWidth+1)
+	for _, u := range a.uses {
+		for i, n := range u.spent.copyBins(now) {
+			bins[i] += float64(n)
+		}
+		bins[0] += float64(u.holds(now))
+	}
+	even := a.absent * a.policy.within(a.limit) / float64(len(bins))
+	r := record{Spent: make([]int64, len(bins))}
+	for i := range bins {
+		older := now.Add(-time.Duration(i) * binWidth)
+		before := a.assumed(a.limit, older.Add(-binWidth), now) - a.assumed(a.limit, older, now)
+		r.Spent[i] = int64(bins[i] + even + before)
+	}
+	return r
+}
+
+// adopt takes in the record of an earlier home.
+func (a *account) adopt(r record) {
+	a.past = r.Spent
+	total, busiest := int64(0), int64(0)
+	for i, n := range r.Spent {
+		total += n
+		recent := int64(0)
+		for _, m := range r.Spent[i:min(i+recordBins, len(r.Spent))] {
+			recent += m
+		}
+		busiest = max(busiest, recent)
+	}
+	a.unrecorded = max(min(a.policy.lent(a.limit)-float64(total), recordGrowth*float64(busiest)), 0)
+}
+
+// pastSince returns what all VMs have spent after a moment and before another one, from which on they know
+// their spending.
+func (a *account) pastSince(from, until time.Time) float64 {
+	if !until.After(from) {
+		return 0
+	}
+	if a.past == nil {
+		// Nothing is on record: all that may be lent, evenly over time.
+		span := a.policy.Window + binWidth
+		return a.policy.lent(a.limit) * min(until.Sub(from).Seconds()/span.Seconds(), 1)
+	}
+	total := a.unrecorded
+	for i, n := range a.past {
+		if !until.Add(-time.Duration(i) * binWidth).After(from) {
+			break
+		}
+		total += float64(n)
+	}
+	return total
+}
+
+// decodeRecord reads a record. A lease without one has no record.
+func decodeRecord(note []byte) (record, bool, error) {
+	if note == nil {
+		return record{}, false, nil
+	}
+	var r record
+	if err := json.Unmarshal(note, &r); err != nil {
+		return record{}, false, errors.Wrap(err, "record of what was spent")
+	}
+	if (Request{Spent: r.Spent}).malformed() {
+		return record{}, false, errors.New("record of what was spent: a number is out of range")
+	}
+	return r, true, nil
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -93,7 +93,7 @@
 	if w.Group.Engine == nil {
 		e, cost := d.conditions.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
 		d.logPlaced(w, e, logrus.Fields{"by": "least_cost", "cost": cost.Round(time.Microsecond), "candidates": len(candidates)})
-		return d.place(e, 0, func(orders.Notice) {}), nil
+		return d.place(e, 0, 0, func(orders.Notice) {}), nil
 	}
 	return d.placeAtEngine(ctx, w, candidates)
 }
@@ -106,20 +106,25 @@
 	}).Info()
 }
 
-// place returns a place and notes the request that goes there.
-func (d *Dispatcher) place(e roster.Endpoint, version int, notify func(orders.Notice)) gateway.Place {
+// place returns a place and notes the request that goes there. expected is the time to the first part of
+// its answer.
+func (d *Dispatcher) place(e roster.Endpoint, version int, expected time.Duration, notify func(orders.Notice)) gateway.Place {
 	d.conditions.mu.Lock()
-	d.conditions.get(e.Incarnation).sent(time.Now())
+	d.conditions.get(e.Incarnation).sent(time.Now(), expected)
 	d.conditions.mu.Unlock()
+	alive := func() {
+		d.conditions.mu.Lock()
+		defer d.conditions.mu.Unlock()
+		d.conditions.get(e.Incarnation).alive(time.Now())
+	}
 	return gateway.Place{
 		Endpoint:       e,
 		AdapterVersion: version,
 		Started: func(after time.Duration) {
-			d.conditions.mu.Lock()
-			d.conditions.get(e.Incarnation).alive(time.Now())
-			d.conditions.mu.Unlock()
+			alive()
 			notify(orders.Notice{Started: true, First: after})
 		},
+		Progress: alive,
 		Done: func(o gateway.Outcome) {
 			d.conditions.mu.Lock()
 			d.conditions.get(e.Incarnation).ended(o, time.Now())
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -249,7 +249,7 @@
 	}
 	key := residency.Key{Model: w.Terms.Model, Name: w.Terms.Adapter}
 	d.memory.note(key, e.Incarnation, reply.Version, time.Now())
-	return d.place(e, reply.Version, notify), reply, true
+	return d.place(e, reply.Version, reply.Estimate, notify), reply, true
 }
 
 // prefetch asks the owner of an engine to load a request's adapter for later requests.
@@ -295,7 +295,7 @@
 
 // placeUnowned returns a place without a permit.
 func (d *Dispatcher) placeUnowned(e roster.Endpoint, key residency.Key, version int) gateway.Place {
-	return d.place(e, version, func(n orders.Notice) {
+	return d.place(e, version, 0, func(n orders.Notice) {
 		if n.Missing {
 			d.memory.forget(key, e.Incarnation)
 		}
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -33,7 +33,8 @@
 // condition is what this VM knows of one run of an endpoint from its own requests.
 type condition struct {
 	outstanding int
-	// quietSince is when the endpoint last gave a sign of life, or got the first request after that.
+	// quietSince is when the endpoint last gave a sign of life, or when the first answer was due of the
+	// requests that it got after that.
 	quietSince time.Time
 	failures   float64
 	failedAt   time.Time
@@ -93,10 +94,10 @@
 	return !c.avoided
 }
 
-// sent notes a request that goes to the endpoint.
-func (c *condition) sent(now time.Time) {
+// sent notes a request that goes to the endpoint, and the time that its answer is expected to take to begin.
+func (c *condition) sent(now time.Time, expected time.Duration) {
 	if c.outstanding == 0 {
-		c.quietSince = now
+		c.quietSince = now.Add(expected)
 	}
 	c.outstanding++
 	c.seen = now
--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -56,7 +57,7 @@
 // play sends one request to an endpoint and notes its outcome.
 func (s *conditions) play(id string, o gateway.Outcome, now time.Time) {
 	c := s.get(roster.Incarnation{ID: id})
-	c.sent(now)
+	c.sent(now, 0)
 	c.ended(o, now)
 }
 
@@ -97,13 +98,42 @@
 func TestASilentEndpointIsAvoided(t *testing.T) {
 	s := newConditions(quiet())
 	c := s.get(roster.Incarnation{ID: "a"})
-	c.sent(start)
+	c.sent(start, 0)
 	late := start.Add(silence + time.Millisecond)
 	require.Equal(t, []string{"b"}, ids(s.candidates(endpoints("a", "b"), nil, late)))
 	c.alive(late)
 	require.Equal(t, []string{"a", "b"}, ids(s.candidates(endpoints("a", "b"), nil, late)))
 }
 
+// One request at an engine: its queue is known to be long, and its answer is a long stream. Neither makes the
+// engine silent as long as the answer begins about when it is due and its parts keep coming.
+func TestALongAnswerIsNoSilence(t *testing.T) {
+	const queue = 500 * time.Millisecond
+	s := newConditions(quiet())
+	c := s.get(roster.Incarnation{ID: "a"})
+	c.sent(start, queue)
+	now := start.Add(queue + silence)
+	require.Equal(t, []string{"a", "b"}, ids(s.candidates(endpoints("a", "b"), nil, now)))
+	for range 20 {
+		c.alive(now)
+		now = now.Add(silence / 2)
+		require.Equal(t, []string{"a", "b"}, ids(s.candidates(endpoints("a", "b"), nil, now)))
+	}
+	now = now.Add(silence)
+	require.Equal(t, []string{"b"}, ids(s.candidates(endpoints("a", "b"), nil, now)), "the stream has stopped")
+}
+
+// The place that a request gets tells the dispatcher that its answer goes on.
+func TestAPlacePassesProgressOn(t *testing.T) {
+	d := New(Config{Log: quiet()})
+	e := endpoints("a")[0]
+	place := d.place(e, 0, 0, func(orders.Notice) {})
+	d.conditions.get(e.Incarnation).quietSince = time.Now().Add(-2 * silence)
+	require.Equal(t, silent, d.Condition(e.Incarnation).Avoided)
+	place.Progress()
+	require.Empty(t, d.Condition(e.Incarnation).Avoided)
+}
+
 func TestLeavingAndExcludedEndpointsAreLeftOut(t *testing.T) {
 	s := newConditions(quiet())
 	list := endpoints("a", "b", "c")
@@ -121,7 +151,7 @@
 	counts := map[string]int{}
 	for range 10 {
 		e, _ := s.pickService(list, "here", func(int) int { return 0 })
-		s.get(e.Incarnation).sent(start)
+		s.get(e.Incarnation).sent(start, 0)
 		counts[e.ID]++
 	}
 	require.Equal(t, map[string]int{"fast": 8, "slow": 2}, counts)
@@ -133,7 +163,7 @@
 	list[0].FailureDomain = "there"
 	picked, _ := s.pickService(list, "here", func(int) int { return 0 })
 	require.Equal(t, "near", picked.ID)
-	s.get(list[1].Incarnation).sent(start)
+	s.get(list[1].Incarnation).sent(start, 0)
 	picked, _ = s.pickService(list, "here", func(int) int { return 0 })
 	require.Equal(t, "far", picked.ID)
 }
@@ -141,7 +171,7 @@
 func TestSweepForgets(t *testing.T) {
 	s := newConditions(quiet())
 	s.play("a", gateway.Outcome{}, start)
-	s.get(roster.Incarnation{ID: "b"}).sent(start)
+	s.get(roster.Incarnation{ID: "b"}).sent(start, 0)
 	s.sweep(start.Add(2 * forgetAfter))
 	require.Len(t, s.list, 1, "b still has a request")
 }
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -73,6 +73,8 @@
 	exclude          []string
 	waited           time.Duration
 	first            time.Duration
+	// progressAt is when the endpoint was last noted to go on with the answer.
+	progressAt time.Time
 	// spare is an endpoint's error answer, passed on if no other endpoint gives a better one.
 	spare *stored
 	relay relay
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -72,6 +72,9 @@
 	// there. Both are called once at most, Started before Done.
 	Started func(after time.Duration)
 	Done    func(Outcome)
+	// Progress is called between Started and Done when further parts of a stream have arrived, not more often
+	// than every progressStep.
+	Progress func()
 }
 
 // Dispatcher chooses endpoints.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -71,7 +71,9 @@
 	mu        sync.Mutex
 	endpoints []roster.Endpoint
 	outcomes  []Outcome
-	refuse    *result.Error
+	// progress counts the notes that an answer goes on.
+	progress int
+	refuse   *result.Error
 }
 
 func (p *fixedPlaces) Place(_ context.Context, w Work) (Place, error) {
@@ -86,7 +88,12 @@
 			excluded = excluded || id == e.ID
 		}
 		if !excluded {
-			return Place{Endpoint: e, Done: func(o Outcome) {
+			progress := func() {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.progress++
+			}
+			return Place{Endpoint: e, Progress: progress, Done: func(o Outcome) {
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				p.outcomes = append(p.outcomes, o)
@@ -444,6 +451,23 @@
 	close(more)
 }
 
+// Each part of a stream that comes some time after the one before tells the dispatcher that the endpoint goes
+// on.
+func TestPartsOfAStreamAreSignsOfLife(t *testing.T) {
+	const parts = 3
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		for i := range parts {
+			_, _ = io.WriteString(w, events(i+1, i+1))
+			w.(http.Flusher).Flush()
+			time.Sleep(progressStep + progressStep/2)
+		}
+	})
+	b.do("/stream/", nil, "")
+	b.places.mu.Lock()
+	defer b.places.mu.Unlock()
+	require.Equal(t, parts, b.places.progress)
+}
+
 // When the caller leaves, the endpoint of a request that may be dropped sees its connection end.
 func TestALeavingCallerEndsTheWork(t *testing.T) {
 	ended := make(chan struct{})
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -19,6 +19,9 @@
 	wholeLimit = 64 << 10
 	// pieceSize is the size of the buffers for pieces of answers, in bytes.
 	pieceSize = 4 << 10
+	// progressStep is the least time between two notes that a stream goes on: a small part of the silence
+	// from which an endpoint is avoided.
+	progressStep = 100 * time.Millisecond
 )
 
 // pieces are buffers for pieces of answers.
@@ -95,6 +98,7 @@
 		n, err := c.answer.Read(buffer[:])
 		if n > 0 {
 			c.noteFirst()
+			c.noteProgress()
 			if !c.passPiece(buffer[:n], flusher) {
 				return c.callerLeft()
 			}
@@ -200,3 +204,13 @@
 		c.place.Started(now.Sub(c.sentAt))
 	}
 }
+
+// noteProgress notes that the stream goes on.
+func (c *call) noteProgress() {
+	now := time.Now()
+	if c.place.Progress == nil || now.Sub(c.progressAt) < progressStep {
+		return
+	}
+	c.progressAt = now
+	c.place.Progress()
+}
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -171,6 +171,7 @@
 		Period:      renewPeriod,
 		Duration:    s.Bounds.OrderTurns,
 		Listed:      stew.publish,
+		Note:        func(name string) []byte { return set.note(name) },
 		Names:       func() []string { return leaseNames(b) },
 	}, table, members, pp.pool, set, log)
 	stew.leases = leases
@@ -198,6 +199,8 @@
 // before the leases run.
 type listenerSet struct {
 	parts []lease.Listener
+	// note returns what to write down of a lease with each renewal.
+	note func(name string) []byte
 }
 
 // LeaseGained implements lease.Listener.
@@ -350,6 +353,7 @@
 func connectLeases(f fleet, b *beliefs, o *orders.Service, a allowances, d *dispatch.Dispatcher, p *process) {
 	b.seen = d.Seen
 	f.listeners.parts = []lease.Listener{o, a.home}
+	f.listeners.note = a.home.Note
 	f.members.SetStatus(func() membership.Status {
 		storeDown, leaseSeen, claims := f.leases.Status()
 		return membership.Status{
--- a/pkg/lease/directory.go
+++ b/pkg/lease/directory.go
@@ -30,7 +30,7 @@
 // ReadDirectory reads rows of the table. Rows that cannot be read are left out.
 func ReadDirectory(rows []platform.Row) Directory {
 	d := Directory{Holders: map[string]Holder{}}
-	sessions, leases := split(rows)
+	sessions, leases, _ := split(rows)
 	for _, row := range sessions {
 		s, err := decodeSession(row)
 		if err != nil || s.over() {
--- a/pkg/lease/lessor.go
+++ b/pkg/lease/lessor.go
@@ -24,6 +24,8 @@
 	PreviousProvenGone bool
 	// State is what the previous holder passed on when it handed the lease over; nil otherwise.
 	State []byte
+	// Note is what the previous holder last wrote down of the lease with a renewal; nil if it wrote nothing.
+	Note []byte
 	// Recent are the VMs that held the lease before, the last one first. This VM may be among them.
 	Recent []string
 }
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -41,6 +41,9 @@
 	// State returns what to pass on to the next holder of a lease that is handed over. It is called
 	// after LeaseLost for that lease. It may be nil.
 	State func(name string) []byte
+	// Note returns what the next holder should know of a lease that this VM holds, also if this VM fails. It
+	// is written with each renewal. It may be nil, and return nil.
+	Note func(name string) []byte
 	// ListPeriod is the time between two listings while nothing has happened.
 	ListPeriod time.Duration
 	// Period is the time between two renewals, Duration how long one is good for.
@@ -76,6 +79,9 @@
 	if c.State == nil {
 		c.State = func(string) []byte { return nil }
 	}
+	if c.Note == nil {
+		c.Note = func(string) []byte { return nil }
+	}
 }
 
 func setDefault(v *time.Duration, def time.Duration) {
@@ -118,6 +124,7 @@
 	own      ownSession
 	sessions map[string]session // as listed last, by VM
 	leases   map[string]lease   // as listed last, by name
+	notes    map[string][]byte  // as listed last, by name of the lease
 	listed   bool               // both maps hold a whole listing
 	// rowsBase is the moment up to which both maps are known to be current: when the listing was
 	// sent, or later if all peers have said since that the table was down for them too.
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -15,6 +15,8 @@
 	claims         []change
 	confirms       []change
 	releases       []change
+	// notes are written with a plain renewal, by the name of the lease.
+	notes map[string][]byte
 	// ends are the sessions of other VMs that the write ends, deletes those it deletes.
 	ends    map[string]session
 	deletes map[string]session
@@ -28,8 +30,8 @@
 	row  leaseRow
 	// version is the version that the row must be at, 0 if it must be absent.
 	version uint64
-	// state is what the previous holder passed on.
-	state []byte
+	// state is what the previous holder passed on, note what it last wrote down.
+	state, note []byte
 	// target is the VM that a released lease is meant for.
 	target membership.Member
 }
@@ -41,6 +43,7 @@
 		First:              c.version == 0,
 		PreviousProvenGone: len(c.row.Lingering) == 0,
 		State:              c.state,
+		Note:               c.note,
 		Recent:             c.row.Recent,
 	}
 }
@@ -50,7 +53,8 @@
 	return len(p.claims)+len(p.confirms)+len(p.releases)+len(p.ends)+len(p.deletes) == 0
 }
 
-// txn returns the plan as a transaction.
+// txn returns the plan as a transaction. Notes need no condition of their own: they are written together
+// with the renewal of a session that a claim of the lease would have ended.
 func (p *plan) txn(attempt string) platform.Txn {
 	t := platform.Txn{Attempt: attempt}
 	add := func(key string, version uint64, value []byte) {
@@ -70,18 +74,44 @@
 	for vm, s := range p.deletes {
 		add(sessionPrefix+vm, s.version, nil)
 	}
+	if p.alone() {
+		for name, note := range p.notes {
+			t.Writes = append(t.Writes, platform.Write{Key: notePrefix + name, Value: note})
+		}
+	}
 	return t
 }
 
+// takeNotes returns what the holder's side has to write down of the leases that this VM holds.
+func (m *Manager) takeNotes(now time.Time) map[string][]byte {
+	m.mu.RLock()
+	var held []string
+	for name, r := range m.rights {
+		if m.valid(r, now) {
+			held = append(held, name)
+		}
+	}
+	m.mu.RUnlock()
+	// The holder's side may ask this manager for its leases: it is called without locks.
+	notes := map[string][]byte{}
+	for _, name := range held {
+		if note := m.cfg.Note(name); note != nil {
+			notes[name] = note
+		}
+	}
+	return notes
+}
+
 // plan decides what to write. It returns nil before the first listing.
 func (m *Manager) plan(listed bool, now time.Time) *plan {
 	live := m.fleet.Live()
+	notes := m.takeNotes(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.listed {
 		return nil
 	}
-	p := &plan{session: m.nextSession(now), sessionVersion: m.own.version}
+	p := &plan{session: m.nextSession(now), sessionVersion: m.own.version, notes: notes}
 	if !listed || m.own.created == 0 {
 		return p
 	}
@@ -232,6 +262,7 @@
 	c := change{name: name, row: m.row(name, nextFencing(l.Fencing), live), version: l.version}
 	c.row.Lingering = m.lingering(l)
 	c.row.Recent = l.remember()
+	c.note = m.notes[name]
 	if l.Holder == "" {
 		c.state = l.State
 	}
--- a/pkg/lease/rows.go
+++ b/pkg/lease/rows.go
@@ -14,6 +14,7 @@
 	rowPrefix     = "lease/"
 	sessionPrefix = rowPrefix + "session/"
 	leasePrefix   = rowPrefix + "name/"
+	notePrefix    = rowPrefix + "note/"
 )
 
 // fencingStep is the distance between two fencing numbers that the table gives. The numbers between
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -152,11 +152,12 @@
 		m.markDown("list")
 		return false
 	}
-	sessions, leases := split(rows)
+	sessions, leases, notes := split(rows)
 	now := time.Now()
 	m.mu.Lock()
 	m.takeSessions(sessions, now)
 	m.takeLeases(leases, now)
+	m.notes = notes
 	m.listed = true
 	m.rowsBase = sent
 	m.syncOwn(now)
@@ -169,9 +170,13 @@
 	return true
 }
 
-// split tells the session rows from the lease rows.
-func split(rows []platform.Row) (sessions, leases []platform.Row) {
+// split tells the session rows, the lease rows and the notes apart.
+func split(rows []platform.Row) (sessions, leases []platform.Row, notes map[string][]byte) {
+	notes = map[string][]byte{}
 	for _, row := range rows {
+		if name, ok := strings.CutPrefix(row.Key, notePrefix); ok {
+			notes[name] = row.Value
+		}
 		switch {
 		case strings.HasPrefix(row.Key, sessionPrefix):
 			sessions = append(sessions, row)
@@ -179,7 +184,7 @@
 			leases = append(leases, row)
 		}
 	}
-	return sessions, leases
+	return sessions, leases, notes
 }
 
 // sightings returns what the listing at now tells of VMs. m.mu is held.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -172,7 +172,10 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{220, "a home that started together with all VMs took what was spent before for evenly spread over the window"},
+	{223, "the same, with the store slow and late meanwhile"},
+}
 
 // TestFaults plays seeds of random faults: those that have failed once, and one more.
 func TestFaults(t *testing.T) {
