Count no held tokens in the records of accounts

Change: a record holds what was spent; what VMs spend of their stock after it is within twice the pace.

--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -196,6 +196,24 @@
 	require.Equal(t, asked, served)
 }
 
+// All VMs of a fleet start again while each held tokens for seconds ahead: those are lost with the VMs and do
+// not count as spent beyond what the account's pace explains.
+func TestTokensLostInARestartAreNotCountedTwice(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 1)
+	home.told = map[string]bool{"a": true}
+	within := testPolicy.within(testLimit)
+	spent := make([]int64, int(testPolicy.Window/binWidth)+1)
+	for i := range spent {
+		spent[i] = int64(0.5 * within / float64(len(spent)))
+	}
+	home.settle(Request{VM: "a", Incarnation: "1", Spent: spent, Covers: time.Hour, Held: int64(0.4 * within)}, now)
+	next := newAccount(testPolicy, testLimit, 1)
+	next.adopt(home.record(now))
+	next.learn(Request{VM: "a", Incarnation: "2"}, now)
+	require.Greater(t, next.stands(now).room(), 0.25*within)
+}
+
 // An account that was quiet spends all it may within seconds. Then all VMs are killed and start again: by the
 // record that the home wrote down up to a renewal before, the bound holds across the restart, and once the
 // spending leaves the window the account goes on.
--- a/pkg/allowance/record.go
+++ b/pkg/allowance/record.go
@@ -10,15 +10,15 @@
 // record is what an account's home writes down with each renewal of its lease, so that a later home knows
 // what was spent before a restart of VMs that could tell it.
 type record struct {
-	// Spent is what all VMs have spent, or may have, in each bin of the window, the newest first.
+	// Spent is what all VMs have spent, as far as they have told, in each bin of the window, the newest first.
 	Spent []int64 `json:"spent"`
 }
 
 const (
 	// recordBins are the bins between two renewals of a lease, rounded up.
 	recordBins = 3
-	// recordGrowth is how many times more than in the busiest time before VMs may have spent after the last
-	// record.
+	// recordGrowth is how many times more than in the busiest such time before VMs may have spent since they
+	// told the home whose record it is.
 	recordGrowth = 2
 )
 
@@ -29,7 +29,6 @@
 		for i, n := range u.spent.copyBins(now) {
 			bins[i] += float64(n)
 		}
-		bins[0] += float64(u.holds(now))
 	}
 	even := a.absent * a.policy.within(a.limit) / float64(len(bins))
 	r := record{Spent: make([]int64, len(bins))}
