Give adapters that their homes cannot serve further homes

One adapter may be asked for by a fifth of the requests, and had three engines of 72. Change: when all homes of a request hold its adapter and have too much to do apart from its own work, its VM gives the adapter one more home.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	conditions *conditions
 	owners     *owners
 	memory     *memory
+	spreads    *spreads
 }
 
 // New returns a dispatcher.
@@ -51,6 +52,7 @@
 		cfg:        cfg,
 		conditions: newConditions(cfg.Log),
 		memory:     newMemory(),
+		spreads:    newSpreads(),
 		owners:     newOwners(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.Caller, cfg.Log),
 	}
 }
@@ -70,6 +72,7 @@
 			case now := <-ticker.C:
 				d.conditions.sweep(now)
 				d.memory.sweep(now)
+				d.spreads.sweep(now)
 			}
 		}
 	}()
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// homes is the number of endpoints at which a request may find its adapter.
+	// homes is the number of endpoints at which a request may find its adapter, if they suffice.
 	homes = 3
 	// easyShare is the part of a request's objective that the work at a home may take up for the request to
 	// go there without a look at the next one.
@@ -60,7 +60,9 @@
 type offer struct {
 	endpoint roster.Endpoint
 	estimate time.Duration
-	delay    time.Duration
+	// queue is the part of the estimate that is not the request's own work.
+	queue time.Duration
+	delay time.Duration
 }
 
 // wait is how long a request would have to wait at the home, with a preference for homes that hold its
@@ -83,12 +85,20 @@
 	if w.Deadline.Before(s.giveUp) {
 		s.giveUp = w.Deadline
 	}
-	ranked := rankHomes(homeKey(w), candidates)
-	for _, e := range ranked[:min(homes, len(ranked))] {
+	key := homeKey(w)
+	ranked := rankHomes(key, candidates)
+	width := d.spreads.width(key, time.Now())
+	for _, e := range chooseHomes(w, ranked, width) {
 		if place, ok := s.try(ctx, e); ok {
 			return place, nil
 		}
 	}
+	if s.crowded() && width < len(ranked) {
+		d.spreads.grow(key, time.Now())
+		if place, ok := s.try(ctx, ranked[width]); ok {
+			return place, nil
+		}
+	}
 	if place, ok := s.settle(ctx); ok {
 		return place, nil
 	}
@@ -126,13 +136,20 @@
 	s.answers = append(s.answers, describe(e, reply))
 	switch reply.Status {
 	case orders.Offered, orders.Waiting:
-		s.offers = append(s.offers, offer{e, reply.Estimate, reply.Delay})
+		s.offers = append(s.offers, offer{e, reply.Estimate, reply.Estimate - reply.Own, reply.Delay})
 	case orders.NotOwner:
 		return s.placeWhereFound(e)
 	}
 	return gateway.Place{}, false
 }
 
+// crowded reports whether all homes hold the adapter and have too much to do: more of them would help.
+func (s *search) crowded() bool {
+	return len(s.offers) >= homes && !slices.ContainsFunc(s.offers, func(o offer) bool {
+		return o.delay > 0 || o.queue <= s.share(easyShare)
+	})
+}
+
 // describe returns an owner's answer for the log: endpoint, status, and the times that speak against it.
 func describe(e roster.Endpoint, reply orders.AcquireReply) string {
 	text := e.ID + ":" + reply.Status.String()
--- a/pkg/orders/load.go
+++ b/pkg/orders/load.go
@@ -58,9 +58,13 @@
 
 // estimate returns the expected time to the first token of a request with that many tokens to read.
 func (l *load) estimate(tokens int) time.Duration {
-	return baseTime + time.Duration(l.pending+tokens)*l.perTok + l.crowding()
+	return l.own(l.pending+tokens) + l.crowding()
 }
 
+// own returns the expected time to the first token of a request with that many tokens to read at an idle
+// engine.
+func (l *load) own(tokens int) time.Duration { return baseTime + time.Duration(tokens)*l.perTok }
+
 // crowding returns the time that requests beyond a share of the slots add.
 func (l *load) crowding() time.Duration {
 	if l.slots == 0 {
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -81,6 +81,8 @@
 	Version int
 	// Estimate is the expected time to the first token, without the wait for the adapter.
 	Estimate time.Duration
+	// Own is the part of Estimate that is the request's own work, without what is ahead of it.
+	Own time.Duration
 	// Waited is how long the request has waited for the adapter, Delay how long it would still have to.
 	Waited time.Duration
 	Delay  time.Duration
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -387,7 +387,7 @@
 	estimate, delay := w.estimate(args), w.delay(args, key, begun)
 	if estimate > args.Bound || delay > args.LoadBound {
 		w.mu.Unlock()
-		return AcquireReply{Status: Offered, Estimate: estimate, Delay: delay}
+		return AcquireReply{Status: Offered, Estimate: estimate, Own: w.load.own(w.unread(args)), Delay: delay}
 	}
 	if reply, ok := w.letThrough(args, key, begun); ok {
 		w.mu.Unlock()
@@ -445,12 +445,17 @@
 
 // estimate returns the expected time to the first token of a request. w.mu is held.
 func (w *worker) estimate(args *AcquireArgs) time.Duration {
-	return w.load.estimate(w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens))
+	return w.load.estimate(w.unread(args))
+}
+
+// unread returns the tokens of a request's prompt that the engine has to read. w.mu is held.
+func (w *worker) unread(args *AcquireArgs) int {
+	return w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
 }
 
 // letThrough notes a permit if the adapter can be used now. w.mu is held.
 func (w *worker) letThrough(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
-	unread := w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
+	unread := w.unread(args)
 	reply := AcquireReply{Status: Granted, Estimate: w.load.estimate(unread)}
 	if _, gone := w.cancelled[permitKey{args.Incarnation, args.Permit}]; gone || !w.books.Ready() {
 		return AcquireReply{}, false
