Count conflicts of orders on only as far as orders without an answer explain

Cause, from the log of engine i-9fbc6bfa96: while orders stay without an answer, the books took each conflict as a sign that the engine's count was one higher; once ahead of the engine they counted on with each further conflict (expected 50, 58, 66, 78, ... 131 within a second) until no order was unsure. Change: the engine's count is at most one more than the highest count that an order without an answer expected; a conflict beyond that asks for a report. An order that expects a count which the engine has yet to reach is now bounded, too. Test: TestConflictsDoNotCountOnForever.

--- a/pkg/residency/books.go
+++ b/pkg/residency/books.go
@@ -99,6 +99,9 @@
 	s.poll = now.Add(max(pollStep, time.Duration(overdueStep*float64(now.Sub(s.ordered)))))
 }
 
+// noOrder stands for the count that no order expected.
+const noOrder = -1
+
 // want is an adapter that requests wait for.
 type want struct {
 	waiters int
@@ -115,6 +118,9 @@
 	// may be one less.
 	accepted int64
 	perhaps  bool
+	// unanswered is the highest count that an order without an answer expected since the last report; noOrder
+	// if there was none. The engine's count is one more at most.
+	unanswered int64
 	// synced says that a report was read. doubted says that the books have proved wrong since: no order
 	// is given before the next report, but what is held is still used.
 	synced, doubted bool
@@ -136,7 +142,7 @@
 func New(cfg Config) *Books {
 	return &Books{
 		cfg: cfg, slots: map[Key]*slot{}, wants: map[Key]*want{}, warm: newWarmList(cfg.WarmCount),
-		cold: firstCold, quick: firstWarm, fastest: firstCold,
+		cold: firstCold, quick: firstWarm, fastest: firstCold, unanswered: noOrder,
 	}
 }
 
@@ -155,7 +161,8 @@
 	if slices.Contains(r.Models, b.cfg.Model) {
 		b.base.state = loaded
 	}
-	b.accepted, b.perhaps, b.synced, b.doubted, b.strays = r.Accepted, false, true, false, true
+	b.accepted, b.perhaps, b.unanswered = r.Accepted, false, noOrder
+	b.synced, b.doubted, b.strays = true, false, true
 }
 
 func (b *Books) adopt(a roster.Adapter, st state, old map[Key]*slot, now time.Time) {
--- a/pkg/residency/books_test.go
+++ b/pkg/residency/books_test.go
@@ -264,3 +264,33 @@
 	}
 	require.Less(t, k.books.Delay(key("new"), k.now), coldLoad+50*time.Millisecond)
 }
+
+// Conflicts that no order without an answer explains any more mean that the books are ahead of the engine. They
+// ask for a report rather than counting on with each conflict.
+func TestConflictsDoNotCountOnForever(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	b := residency.New(residency.Config{
+		Model: baseModel, Places: places, MaxLoading: 2, WarmCount: 4, Newest: func(residency.Key) int { return 0 },
+	})
+	b.Sync(engine.Report{Accepted: 10, Models: []string{baseModel}}, now)
+	take := func(kind residency.Kind) residency.Action {
+		t.Helper()
+		now = now.Add(time.Second)
+		action, ok, _ := b.Next(now)
+		require.True(t, ok)
+		require.Equal(t, kind, action.Kind)
+		return action
+	}
+	b.Want(key("a"), 0, now)
+	b.Took(take(residency.Load), engine.Accepted, now)
+	b.Took(take(residency.Confirm), engine.Holds, now)
+	b.Want(key("b"), 0, now)
+	b.Lost(take(residency.Load), now)
+	first := take(residency.Confirm)
+	require.EqualValues(t, 11, first.Expected)
+	b.Took(first, engine.Conflict, now)
+	second := take(residency.Confirm)
+	require.EqualValues(t, 12, second.Expected, "the lost order may have counted")
+	b.Took(second, engine.Conflict, now)
+	take(residency.Report)
+}
--- a/pkg/residency/next.go
+++ b/pkg/residency/next.go
@@ -347,9 +347,10 @@
 
 // conflict takes in that the engine's count is not the expected one. If orders without an answer explain
 // that, the count is one more at least. If not, or if an order from before the last report can have been
-// carried out, a report has to tell.
+// carried out, a report has to tell: also when no order without an answer can have brought the engine beyond
+// the expected count, because then the books are ahead of it.
 func (b *Books) conflict(a Action, now time.Time) {
-	if a.Adapter.Name == "" || b.strays || !b.perhaps && !b.unsure() {
+	if a.Adapter.Name == "" || b.strays || a.Expected > b.unanswered || !b.perhaps && !b.unsure() {
 		b.Doubt(now)
 		return
 	}
@@ -381,6 +382,9 @@
 // place counts as taken.
 func (b *Books) Lost(a Action, now time.Time) {
 	key := KeyOf(a.Adapter)
+	if a.Kind != Report {
+		b.unanswered = max(b.unanswered, a.Expected)
+	}
 	switch a.Kind {
 	case Report:
 		b.syncAt = now.Add(settle)
