Serve prompts that are late by themselves while engines are idle

A late answer was of use. Change: a request that hardly anything is ahead of is sent although it will be late; where others wait, it is refused at once as before.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -165,7 +165,7 @@
 		return gateway.Place{}, false
 	}
 	best := slices.MinFunc(s.offers, func(a, b offer) int { return cmp.Compare(a.wait(), b.wait()) })
-	if best.estimate+best.delay > s.limit()-time.Since(s.w.Arrived) {
+	if best.estimate+best.delay > s.limit()-time.Since(s.w.Arrived) && !s.lateByItself(best) {
 		return gateway.Place{}, false
 	}
 	s.prefetch(ctx, best)
@@ -180,6 +180,12 @@
 	return place, true
 }
 
+// lateByItself reports whether hardly anything is ahead of the request at the home: it is late because of its own
+// work, keeps nobody waiting who is ahead, and a late answer is better than none.
+func (s *search) lateByItself(o offer) bool {
+	return o.queue <= s.share(easyShare) && o.delay <= s.share(loadShare) && o.estimate+o.delay < time.Until(s.giveUp)
+}
+
 // logGranted writes the line of a request that an owner has let through.
 func (s *search) logGranted(e roster.Endpoint, reply orders.AcquireReply) {
 	s.d.logPlaced(s.w, e, logrus.Fields{
--- a/pkg/dispatch/spread_test.go
+++ b/pkg/dispatch/spread_test.go
@@ -136,3 +136,21 @@
 	require.Equal(t, []string{"a", "b", "c"}, ids(chooseHomes(session("x"), ranked, homes)))
 	require.Equal(t, []string{"a", "b"}, ids(chooseHomes(session("x"), ranked[:2], 8)))
 }
+
+// A long prompt alone takes longer than its objective. It is served late by an engine with nothing else to do,
+// and refused where others are waiting.
+func TestALongPromptIsServedLateWhileEnginesAreIdle(t *testing.T) {
+	s := &search{
+		w:         gateway.Work{Arrived: time.Now(), Urgency: 2},
+		objective: 800 * time.Millisecond,
+		giveUp:    time.Now().Add(time.Hour),
+	}
+	long := offer{estimate: 1100 * time.Millisecond, queue: 40 * time.Millisecond, delay: 250 * time.Millisecond}
+	require.True(t, s.lateByItself(long))
+	long.queue = 500 * time.Millisecond
+	require.False(t, s.lateByItself(long))
+	long.queue, long.delay = 40*time.Millisecond, 700*time.Millisecond
+	require.False(t, s.lateByItself(long), "others wait for their adapters")
+	long.delay, s.giveUp = 250*time.Millisecond, time.Now().Add(time.Second)
+	require.False(t, s.lateByItself(long), "its time ends first")
+}
