Do not pass an error on as the end of a broken stream

A stream that may be resumed broke off with its engine, and the engine that was to go on with it answered 500 (srv_grey). The error's body was written into the stream, which then ended as if it were whole. Ruled out: the resumption itself (events are passed on whole, and numbered). Change: once a part of a stream has been passed on, only a stream goes on with it; an error asks another endpoint or breaks the stream off. An error kept for want of better is not written into a stream either. Test: TestAnErrorDoesNotEndABrokenStream, ended as whole before.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -327,11 +327,11 @@
 	c.logEnd(state)
 	switch {
 	case state == stateAnswered:
-	case c.spare != nil:
-		c.deliver(c.spare)
 	case c.relay.begun:
 		// The answer is not whole. Closing the connection tells the caller so.
 		panic(http.ErrAbortHandler)
+	case c.spare != nil:
+		c.deliver(c.spare)
 	case c.failure != nil:
 		writeError(c.w, c.failure)
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -402,6 +402,18 @@
 	require.Equal(t, 1, b.arrivals())
 }
 
+// The endpoint that is to go on with a broken stream answers with an error of its own: that is no part of the
+// stream, and does not end it as if it were whole.
+func TestAnErrorDoesNotEndABrokenStream(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusBadRequest} {
+		b := newBench(t, flushThenDrop(events(1, 2)), fail(status))
+		a := b.do("/resume/", nil, "")
+		require.True(t, a.cut, "status %d", status)
+		require.Equal(t, events(1, 2), a.body)
+		require.Equal(t, 2, b.arrivals())
+	}
+}
+
 // A stream that may be resumed goes on at another endpoint after its last whole event, with the head of
 // the first.
 func TestABrokenStreamIsResumed(t *testing.T) {
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -41,9 +41,23 @@
 	if c.route.Stream && c.answer.Status < http.StatusMultipleChoices {
 		return c.passStream()
 	}
+	if c.relay.begun {
+		return c.notResumed()
+	}
 	return c.passWhole()
 }
 
+// notResumed handles an answer that does not go on with a stream that the caller has received a part of.
+func (c *call) notResumed() chart.Event {
+	c.logAttempt("not_resumed", errors.Errorf("status %d", c.answer.Status))
+	c.drop(Outcome{Failed: retryableStatus(c.answer.Status)})
+	event := c.repeat(result.New(result.AnswerCut, "no endpoint went on with the stream"))
+	if event == eventAgain {
+		return eventResume
+	}
+	return event
+}
+
 // passWhole reads an answer to its end and passes it on. A larger one is passed on piece by piece.
 func (c *call) passWhole() chart.Event {
 	body, err := io.ReadAll(io.LimitReader(c.answer, wholeLimit))
--- a/test/processes/processes_test.go
+++ b/test/processes/processes_test.go
@@ -41,7 +41,7 @@
 		report := f.loadDuring(t, others, owner.terminate)
 		require.Empty(t, report.Refusals())
 		require.NoError(t, owner.cmd.Wait(), "%s", owner.log)
-		require.Contains(t, owner.log.String(), "cut_attempts=0 cut_requests=0 event=drain_ended")
+		require.Contains(t, owner.log.String(), "event=drain_ended cut_attempts=0 cut_requests=0")
 		f.start(owner)
 		f.awaitAnswers()
 	})
