--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -69,8 +69,9 @@
 	// processes on them may have spent more within the window.
 	covered map[string]time.Time
 	// past is what all VMs had spent in each bin by the record of an earlier home, the newest first; nil if
-	// there is no record. unrecorded is what they may have spent after it.
-	past       []int64
+	// there is no record.
+	past []int64
+	// unrecorded is what they may have spent after the record, in tokens.
 	unrecorded float64
 	// absent is the share of the VMs that cannot tell: each of them goes on at its even share of the
 	// limit, and has done so before.
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -180,8 +180,8 @@
 	return place, true
 }
 
-// lateByItself reports whether hardly anything is ahead of the request at the home: it is late because of its own
-// work, keeps nobody waiting who is ahead, and a late answer is better than none.
+// lateByItself reports whether hardly anything is ahead of the request at the home. It is late because of its own
+// work then, and a late answer is better than none.
 func (s *search) lateByItself(o offer) bool {
 	return o.queue <= s.share(easyShare) && o.delay <= s.share(loadShare) && o.estimate+o.delay < time.Until(s.giveUp)
 }
