Log the fingerprint of requests whose endpoint's connection ended

Lines of attempts now name the endpoint's run and, where the connection ended, a fingerprint that equal requests of one account share; gateway.connections_ended counts them. The hash is computed only there. It was pkg/entry's and moved to pkg/suspect.

Changes no decision. An answer's head that is cut in the middle of a line is now told from one that is garbled.

--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
 	"net/http"
 	"slices"
@@ -12,6 +10,7 @@
 	"github.com/mallowlink/mallowlink/pkg/endpoint"
 	"github.com/mallowlink/mallowlink/pkg/request"
 	"github.com/mallowlink/mallowlink/pkg/result"
+	"github.com/mallowlink/mallowlink/pkg/suspect"
 )
 
 // maxIdempotencyKey bounds the length of an Idempotency-Key.
@@ -120,7 +119,7 @@
 
 // newCall returns the part of a call that is the same for engines and services.
 func (h *Handler) newCall(x *exchange, target string, body []byte) *request.Call {
-	sum := requestHash(x.r.Method, target, body)
+	sum := suspect.Hash(x.r.Method, target, body)
 	weight := x.index.bundle.Accounts[x.account].Weight
 	if weight <= 0 {
 		weight = defaultWeight
@@ -130,7 +129,7 @@
 		Account:      x.account,
 		Weight:       weight,
 		BodyHash:     hex.EncodeToString(sum[:]),
-		Fingerprint:  fingerprint(x.account, sum),
+		Fingerprint:  suspect.Fingerprint(x.account, sum),
 		RetryPercent: x.index.bundle.Fleet.RetryPercent,
 		Authorized:   h.authorized(x),
 		Endpoint: endpoint.Request{
@@ -145,22 +144,3 @@
 
 // defaultWeight is the weight of an account that names none, and of open routes.
 const defaultWeight = 1
-
-// requestHash identifies equal requests: by method, target and body, which names the adapter.
-func requestHash(method, target string, body []byte) [sha256.Size]byte {
-	h := sha256.New()
-	for _, part := range []string{method, target} {
-		h.Write(binary.AppendUvarint(nil, uint64(len(part))))
-		h.Write([]byte(part))
-	}
-	h.Write(body)
-	return [sha256.Size]byte(h.Sum(nil))
-}
-
-// fingerprint identifies equal requests of one client account. It is never 0.
-func fingerprint(account string, sum [sha256.Size]byte) uint64 {
-	h := sha256.New()
-	h.Write(sum[:])
-	h.Write([]byte(account))
-	return max(1, binary.BigEndian.Uint64(h.Sum(nil)))
-}
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -15,6 +15,7 @@
 	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/route"
+	"github.com/mallowlink/mallowlink/pkg/suspect"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
 
@@ -64,6 +65,8 @@
 	// urgency ranks the request; 0 is first.
 	urgency int
 	body    []byte
+	// identity is the request's fingerprint, 0 until it has been computed.
+	identity uint64
 
 	place  Place
 	answer *upstream.Answer
@@ -304,6 +307,15 @@
 	}
 }
 
+// fingerprint identifies equal requests of one client account. It is computed only where it is needed, as its cost grows
+// with the body.
+func (c *call) fingerprint() uint64 {
+	if c.identity == 0 {
+		c.identity = suspect.Fingerprint(c.account, suspect.Hash(c.r.Method, c.r.RequestURI, c.body))
+	}
+	return c.identity
+}
+
 // over returns why the call must end before it is sent: its caller has left or its time is over.
 func (c *call) over() *result.Error {
 	if c.ctx.Err() != nil && !errors.Is(context.Cause(c.ctx), errTimeOver) {
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -10,6 +10,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/chart"
 	"github.com/mallowlink/mallowlink/pkg/result"
+	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
 
 // Header fields of mallowlink's own on answers that no endpoint has given.
@@ -82,10 +83,16 @@
 	}).Warn()
 }
 
-// logAttempt writes the line of an endpoint that has not answered the request in full.
+// logAttempt writes the line of an endpoint that has not answered the request in full. If the connection has ended, it
+// names the request's fingerprint, by which equal requests are found.
 func (c *call) logAttempt(result string, err error) {
-	c.g.cfg.Log.WithError(err).WithFields(logrus.Fields{
-		"event": "attempt_ended", "id": c.terms.ID, "endpoint": c.place.Endpoint.ID, "result": result,
-		"after": time.Since(c.sentAt).Round(time.Millisecond), "runs": c.runs, "passed_on": c.relay.begun,
-	}).Warn()
+	entry := c.g.cfg.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "attempt_ended", "id": c.terms.ID, "endpoint": c.place.Endpoint.ID, "started": c.place.Endpoint.Started,
+		"result": result, "after": time.Since(c.sentAt).Round(time.Millisecond), "runs": c.runs, "passed_on": c.relay.begun,
+	})
+	if upstream.Ended(err) {
+		c.g.meters.connectionsEnded.Inc(1)
+		entry = entry.WithField("fingerprint", strconv.FormatUint(c.fingerprint(), 16))
+	}
+	entry.Warn()
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
@@ -139,6 +139,7 @@
 	rules   *Rules
 	server  *httptest.Server
 	seen    chan *http.Request
+	lines   *test.Hook
 }
 
 // handler plays an endpoint.
@@ -177,8 +178,8 @@
 	}).Indexed())
 	pools := upstream.NewPools()
 	t.Cleanup(pools.Close)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log, lines := test.NewNullLogger()
+	b.lines = lines
 	g := New(Config{
 		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.valid }, RulesAge: func() time.Duration { return 0 }, Dialect: testDialect{},
 		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, nil),
@@ -558,3 +559,21 @@
 		require.Empty(t, c.rest())
 	}
 }
+
+// The log shows that equal requests of one account, and no others, have met ends of connections.
+func TestEndedConnectionsAreLoggedWithTheRequestsFingerprint(t *testing.T) {
+	b := newBench(t, drop)
+	b.do("/unsafe/x", nil, "same")
+	b.do("/unsafe/x", map[string]string{"Id": "r2"}, "same")
+	b.do("/unsafe/x", nil, "other")
+	var prints []any
+	for _, line := range b.lines.AllEntries() {
+		if line.Data["event"] == "attempt_ended" {
+			prints = append(prints, line.Data["fingerprint"])
+		}
+	}
+	require.Len(t, prints, 3)
+	require.NotEmpty(t, prints[0])
+	require.Equal(t, prints[0], prints[1])
+	require.NotEqual(t, prints[0], prints[2])
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -16,6 +16,8 @@
 	metricResumed  = "gateway.resumed"
 	metricFirst    = "gateway.first"
 	metricWait     = "gateway.wait"
+	// metricConnectionsEnded counts the requests whose endpoint's side of the connection ended before the answer.
+	metricConnectionsEnded = "gateway.connections_ended"
 )
 
 // sampleSize bounds the samples of a histogram; sampleAlpha is its bias to recent values. Both are the
@@ -27,7 +29,7 @@
 
 // meters are the gateway's counters and latency histograms, in nanoseconds.
 type meters struct {
-	requests, answered, refused, failed, repeats, resumed metrics.Counter
+	requests, answered, refused, failed, repeats, resumed, connectionsEnded metrics.Counter
 	// first is the time from a request's arrival to the first part of its answer; wait is the time
 	// until it had an endpoint.
 	first, wait metrics.Histogram
@@ -42,7 +44,8 @@
 		requests: counter(metricRequests), answered: counter(metricAnswered),
 		refused: counter(metricRefused), failed: counter(metricFailed),
 		repeats: counter(metricRepeats), resumed: counter(metricResumed),
-		first: histogram(metricFirst), wait: histogram(metricWait),
+		connectionsEnded: counter(metricConnectionsEnded),
+		first:            histogram(metricFirst), wait: histogram(metricWait),
 	}
 }
 
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -20,13 +20,26 @@
 	idleSince time.Time
 	// used says that the connection has carried an answer before.
 	used bool
+	// ended is how the endpoint's side of the connection has ended; nil while it has not.
+	ended error
 }
 
 // readBuffer is the size of a connection's read buffer, in bytes; most events and answers fit.
 const readBuffer = 2 << 10
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
+	cn := &conn{Conn: c}
+	cn.reader = bufio.NewReaderSize(cn, readBuffer)
+	return cn
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if Ended(err) {
+		c.ended = err
+	}
+	return n, err
 }
 
 // fresh reports whether the connection can carry another request: nothing is left over in it, the
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -161,6 +161,10 @@
 func (a *Answer) readHead(req Request) error {
 	for range maxStray {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: req.Method})
+		if err != nil && a.conn.ended != nil && !Ended(err) {
+			// What had arrived of the head does not look like one.
+			return errors.Wrapf(a.conn.ended, "read head: %v", err)
+		}
 		if err != nil {
 			return errors.Wrap(err, "read head")
 		}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -314,3 +314,30 @@
 	require.Empty(t, client.pools.pools)
 	require.True(t, strings.HasPrefix(e.seen[0], "POST"))
 }
+
+// An ended connection is told from an answer that is none and from a time that is over.
+func TestEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(e *endpoint, c net.Conn, r *bufio.Reader)
+		ended  bool
+	}{
+		"closed": {func(e *endpoint, c net.Conn, r *bufio.Reader) { e.read(r) }, true},
+		"cut": {func(e *endpoint, c net.Conn, r *bufio.Reader) {
+			e.read(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX")
+		}, true},
+		"garbled": {func(e *endpoint, c net.Conn, r *bufio.Reader) {
+			e.read(r)
+			_, _ = io.WriteString(c, "no answer\r\n\r\n")
+		}, false},
+		"silent": {func(e *endpoint, _ net.Conn, r *bufio.Reader) { e.read(r); e.read(r) }, false},
+	} {
+		e := listen(t, c.script)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		_, err := newClient(t).Send(ctx, e.target(), request("a"))
+		cancel()
+		require.Error(t, err, name)
+		require.Equal(t, c.ended, Ended(err), "%s: %v", name, err)
+	}
+	require.False(t, Ended(nil))
+}
