Wait for the verdict on an endpoint before its request is sent again; fatal requests under faults

What callers saw: a request that crashes endpoints, sent to four VMs at the same moment, ended up to 9 endpoints before the VMs knew of each other's (plain safe and resumable routes: each VM repeats it at once).

Cause: the repeat left before the first end was decided and told.

Change: a repeat waits until it is decided whether the endpoint has ended, and a few milliseconds for others to hear, 150 ms at most. A connection that has ended alone costs the repeat the time of one question to the endpoint.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/httpheader"
 	"github.com/mallowlink/mallowlink/pkg/result"
+	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/route"
 	"github.com/mallowlink/mallowlink/pkg/suspect"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
@@ -69,6 +70,8 @@
 	identity uint64
 	// suspected says that the request is counted as a suspect at its endpoint.
 	suspected bool
+	// struck is the run of an endpoint that may have ended under the request; nil once that is decided.
+	struck *roster.Incarnation
 
 	place  Place
 	answer *upstream.Answer
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -23,6 +23,8 @@
 	// that it has ended there.
 	Started(fingerprint uint64, endpoint string) bool
 	Left(fingerprint uint64, endpoint string)
+	// AwaitVerdict waits a little until it is known whether a run of an endpoint has ended.
+	AwaitVerdict(ctx context.Context, id roster.Incarnation)
 	// Served says that a request was answered whole.
 	Served(fingerprint uint64)
 	// Answered says that an endpoint has answered a request that was sent to it at that time.
@@ -44,6 +46,10 @@
 // error says why it must not be sent at all.
 func (c *call) isolate() ([]string, *result.Error) {
 	c.suspected = false
+	if c.struck != nil {
+		c.g.cfg.Suspects.AwaitVerdict(c.ctx, *c.struck)
+		c.struck = nil
+	}
 	if c.g.cfg.Suspects.Quiet() {
 		return nil, nil
 	}
@@ -112,6 +118,7 @@
 	if !c.headAt.IsZero() {
 		running = time.Since(c.headAt)
 	}
+	c.struck = &c.place.Endpoint.Incarnation
 	c.g.cfg.Suspects.Broke(c.place.Endpoint, c.account, c.fingerprint(), running)
 }
 
--- a/pkg/suspect/watch.go
+++ b/pkg/suspect/watch.go
@@ -23,6 +23,10 @@
 	firstProbe = 10 * time.Millisecond
 	// presumeAfter is the time after which an endpoint that has not shown that it lives counts as ended.
 	presumeAfter = 600 * time.Millisecond
+	// verdictWait bounds how long a request under which an endpoint may have ended waits before it is sent again, and
+	// tellWait is the time in which other VMs hear of an end: the request may end the next endpoint too.
+	verdictWait = 150 * time.Millisecond
+	tellWait    = 10 * time.Millisecond
 	// restartTime is the least time in which an endpoint that has ended may answer again. What it answers before
 	// that shows that it has not ended; later answers may be those of its next run.
 	restartTime = time.Second
@@ -96,7 +100,9 @@
 // inquiry is the question whether an endpoint has ended.
 type inquiry struct {
 	endpoint roster.Endpoint
-	first    time.Time
+	// done is closed when the question is decided.
+	done  chan struct{}
+	first time.Time
 	// struck maps the requests that were under way to when their connections ended.
 	struck map[uint64]time.Time
 }
@@ -207,7 +213,7 @@
 	}
 	q := w.open[e.Incarnation]
 	if q == nil {
-		q = &inquiry{endpoint: e, first: now, struck: map[uint64]time.Time{}}
+		q = &inquiry{endpoint: e, done: make(chan struct{}), first: now, struck: map[uint64]time.Time{}}
 		w.open[e.Incarnation] = q
 		w.asking.Add(1)
 		go w.inquire(q)
@@ -295,6 +301,35 @@
 func (w *Watch) end(q *inquiry) {
 	delete(w.open, q.endpoint.Incarnation)
 	w.asking.Add(-1)
+	close(q.done)
+}
+
+// AwaitVerdict waits until it is decided whether an endpoint has ended, and other VMs that were struck by the same request
+// may have told, or until verdictWait has passed.
+func (w *Watch) AwaitVerdict(ctx context.Context, id roster.Incarnation) {
+	w.mu.Lock()
+	q := w.open[id]
+	w.mu.Unlock()
+	if q == nil {
+		return
+	}
+	timer := time.NewTimer(verdictWait)
+	defer timer.Stop()
+	select {
+	case <-q.done:
+		if w.held(id) {
+			clock.Sleep(ctx, tellWait)
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// held reports whether a run of an endpoint was found to have ended.
+func (w *Watch) held(id roster.Incarnation) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.decided[crashOf(roster.Endpoint{Incarnation: id})]
 }
 
 // fields are those of the line on an inquiry's outcome. w.mu is held.
--- a/pkg/suspect/watch_test.go
+++ b/pkg/suspect/watch_test.go
@@ -227,3 +227,27 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A request is not sent again before it is known whether its endpoint has ended, but does not wait for long.
+func TestAVerdictIsAwaited(t *testing.T) {
+	for name, c := range map[string]struct {
+		life     Life
+		at, most time.Duration
+	}{
+		"ended": {Ended, firstProbe, firstProbe + tellWait}, "alive": {Alive, firstProbe, firstProbe}, "silent": {Unknown, verdictWait, verdictWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newEndpoints()
+			p.set("e", c.life)
+			w := newWatch(t, p)
+			begun := time.Now()
+			w.AwaitVerdict(t.Context(), run("e").Incarnation)
+			require.Zero(t, time.Since(begun), "nothing in question")
+			w.Broke(run("e"), account, fp, 0)
+			w.AwaitVerdict(t.Context(), run("e").Incarnation)
+			took := time.Since(begun)
+			require.True(t, took >= c.at && took <= c.most, "%s: %v", name, took)
+			time.Sleep(time.Second)
+		})
+	}
+}
