Keep the repeats of VMs that forget each other to the fleet's bound

What callers could see: on a large deployment that falls apart into VMs that do not hear of each other for ten seconds, endpoints get more repeats than all VMs may make (BUDGET).

Cause: each VM's part of the repeats without traffic was divided by the VMs that it knew of at the moment. 83 VMs that are cut off from each other took 4 each, 332 together, of 54.

Change: divide by the most VMs that the process has known of. A VM that starts knows them with its first list.

--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -356,8 +356,13 @@
 	bounds RetryBounds
 	fleet  allowance.Fleet
 
-	mu      sync.Mutex
-	windows map[string]*retry.Window // by group, guarded by mu
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	windows map[string]*retry.Window // by group
+	// most is the greatest number of VMs that this one has known of at once. VMs that are cut off from each other
+	// must not each take the repeats of a small fleet.
+	most int
 }
 
 func newRetries(b RetryBounds, f allowance.Fleet) *retries {
@@ -366,7 +371,11 @@
 
 // reserve returns this VM's part of the repeats that the fleet may make without any traffic.
 func (r *retries) reserve() float64 {
-	return min(retryCaution*r.bounds.Reserve/float64(len(r.fleet.Members())), maxRetryReserve)
+	members := len(r.fleet.Members())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.most = max(r.most, members)
+	return min(retryCaution*r.bounds.Reserve/float64(r.most), maxRetryReserve)
 }
 
 func (r *retries) of(group string) *retry.Window {
