Send no new requests to endpoints that say in an answer that they leave

What callers could see: requests sent to an endpoint that was about to end, broken off or refused there (DRAIN). The newest rules add a header by which an endpoint says so in each answer, also one that the list of endpoints still has as ready.

Change: an answer that names the request, of the endpoint that was addressed, marks that run of the endpoint as leaving at this VM: at once, for requests and for orders, whatever older lists or lists of a VM that was cut off say, and until ten minutes after it was last listed. The next run is a new endpoint. Event endpoint_leaves, counter upstream.leaving.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -68,8 +68,14 @@
 	Signed bool
 	// Encoded says that the body is not as the endpoint wrote it.
 	Encoded bool
-	// Leaving says that the endpoint closes the connection after the answer.
+	// Closes says that the endpoint closes the connection after the answer.
+	Closes bool
+	// Leaving says that the endpoint is about to end, and wants no new requests.
 	Leaving bool
+	// Pause is how long an endpoint that has turned the request away wants no further ones from this VM; 0 if it does not
+	// say. PauseText is what it said, if that could not be read or is not kept to.
+	Pause     time.Duration
+	PauseText string
 }
 
 // Dialect reads and writes headers.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -183,7 +183,7 @@
 	b.lines = lines
 	g := New(Config{
 		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.valid }, RulesAge: func() time.Duration { return 0 }, Dialect: testDialect{},
-		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, nil), Suspects: b.suspects(),
+		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{}), Suspects: b.suspects(),
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	b.server = httptest.NewServer(g)
--- a/pkg/gatewayd/beliefs.go
+++ b/pkg/gatewayd/beliefs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,10 +33,15 @@
 	// anything is read.
 	seen func(roster.Endpoint)
 
+	// lists is held while the list of endpoints is replaced.
+	lists sync.Mutex
+
 	mu sync.RWMutex
 	// The fields below are guarded by mu.
 
-	newest    map[residency.Key]int
+	newest map[residency.Key]int
+	// leaving are the runs of endpoints that have said in an answer that they leave, each with when it was last listed.
+	leaving   map[roster.Incarnation]time.Time
 	malformed map[string][]byte
 	// operatorAt and endpointsAt are the moments up to which the operator's rows and the list of
 	// endpoints are known to be current.
@@ -47,7 +53,7 @@
 func newBeliefs(p Platform, log logrus.FieldLogger) *beliefs {
 	return &beliefs{
 		platform: p, log: log, roster: roster.New(), changed: func() {}, seen: func(roster.Endpoint) {},
-		newest: map[residency.Key]int{}, malformed: map[string][]byte{},
+		newest: map[residency.Key]int{}, leaving: map[roster.Incarnation]time.Time{}, malformed: map[string][]byte{},
 	}
 }
 
@@ -120,8 +126,17 @@
 // does not come back, and one that this VM knows to be off the list is not listed again because another VM,
 // for which the store was away, keeps it.
 func (b *beliefs) takeEndpoints(list []roster.Endpoint, position uint64, confirmed time.Time) {
+	if b.replaceEndpoints(list, position, confirmed) {
+		b.changed()
+	}
+}
+
+// replaceEndpoints is takeEndpoints without telling others. It reports false if the list is left out.
+func (b *beliefs) replaceEndpoints(list []roster.Endpoint, position uint64, confirmed time.Time) bool {
+	b.lists.Lock()
+	defer b.lists.Unlock()
 	if !b.advance(position, confirmed) {
-		return
+		return false
 	}
 	old := b.roster.View()
 	first := len(old.All()) == 0
@@ -135,10 +150,51 @@
 			list[i].Draining = true
 		}
 	}
+	b.setEndpoints(old, list)
+	return true
+}
+
+// setEndpoints replaces the list of endpoints. b.lists is held.
+func (b *beliefs) setEndpoints(old *roster.View, list []roster.Endpoint) {
+	b.markLeaving(list, time.Now())
 	view := roster.NewView(list)
 	b.logEndpoints(old, view)
 	b.roster.Set(view)
+}
+
+// leavingMemory is how long it is known that a run of an endpoint has said that it leaves after it was last listed: lists
+// of a VM that was cut off may bring it back.
+const leavingMemory = 10 * time.Minute
+
+// markLeaving marks the endpoints that have said that they leave, whatever the list says.
+func (b *beliefs) markLeaving(list []roster.Endpoint, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, e := range list {
+		if _, left := b.leaving[e.Incarnation]; left {
+			list[i].Draining = true
+			b.leaving[e.Incarnation] = now
+		}
+	}
+	maps.DeleteFunc(b.leaving, func(_ roster.Incarnation, listed time.Time) bool { return now.Sub(listed) > leavingMemory })
+}
+
+// takeLeaving takes in that a run of an endpoint has said in an answer that it leaves. It reports false if that was known.
+func (b *beliefs) takeLeaving(id roster.Incarnation) bool {
+	b.mu.Lock()
+	_, known := b.leaving[id]
+	b.leaving[id] = time.Now()
+	b.mu.Unlock()
+	if known {
+		return false
+	}
+	b.log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": id.ID, "started": id.Started}).Info()
+	b.lists.Lock()
+	old := b.roster.View()
+	b.setEndpoints(old, slices.Clone(old.All()))
+	b.lists.Unlock()
 	b.changed()
+	return true
 }
 
 // advance reports whether a list of endpoints is no older than the one known, and notes its position. A lower
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -24,6 +24,7 @@
 	"github.com/mallowlink/mallowlink/pkg/peer"
 	"github.com/mallowlink/mallowlink/pkg/relay"
 	"github.com/mallowlink/mallowlink/pkg/retry"
+	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/suspect"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
@@ -113,13 +114,25 @@
 	client *upstream.Client
 }
 
-// metricDials counts the connections opened to endpoints.
-const metricDials = "upstream.dials"
+// Names of the counters of the way to endpoints: connections opened, and endpoints that have said in an answer that they
+// leave.
+const (
+	metricDials   = "upstream.dials"
+	metricLeaving = "upstream.leaving"
+)
 
-func newUpstream(p Platform, registry metrics.Registry) outbound {
+func newUpstream(p Platform, b *beliefs, registry metrics.Registry) outbound {
 	pools := upstream.NewPools()
 	dials := metrics.GetOrRegisterCounter(metricDials, registry)
-	return outbound{pools: pools, client: upstream.NewClient(pools, p.Dialect, func() { dials.Inc(1) })}
+	leaving := metrics.GetOrRegisterCounter(metricLeaving, registry)
+	return outbound{pools: pools, client: upstream.NewClient(pools, p.Dialect, upstream.Events{
+		Dialed: func() { dials.Inc(1) },
+		Leaving: func(target upstream.Target) {
+			if b.takeLeaving(roster.Incarnation{ID: target.ID, Started: target.Started}) {
+				leaving.Inc(1)
+			}
+		},
+	})}
 }
 
 // peers are the calls between VMs. The platform gives the process no certificates; its network admits
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -60,15 +60,20 @@
 type Client struct {
 	pools   *Pools
 	dialect dialect.Dialect
-	dials   func()
+	events  Events
 }
 
-// NewClient returns a client over the pools. dialed, if not nil, is called for each new connection.
-func NewClient(pools *Pools, d dialect.Dialect, dialed func()) *Client {
-	if dialed == nil {
-		dialed = func() {}
-	}
-	return &Client{pools: pools, dialect: d, dials: dialed}
+// Events are told what happens on the way. Nil ones are left out.
+type Events struct {
+	// Dialed is called for each new connection.
+	Dialed func()
+	// Leaving is called when an endpoint has said in an answer that it is about to end.
+	Leaving func(Target)
+}
+
+// NewClient returns a client over the pools.
+func NewClient(pools *Pools, d dialect.Dialect, events Events) *Client {
+	return &Client{pools: pools, dialect: d, events: events}
 }
 
 // Send sends the request and returns once the head of its answer has arrived. When ctx ends, the
@@ -81,7 +86,9 @@
 		if cn, err = c.pools.dial(ctx, target); err != nil {
 			return nil, &Error{Err: err}
 		}
-		c.dials()
+		if c.events.Dialed != nil {
+			c.events.Dialed()
+		}
 	}
 	return c.exchange(ctx, target, cn, req)
 }
@@ -171,6 +178,7 @@
 		verdict := a.client.dialect.Judge(resp.StatusCode, resp.Header)
 		if verdict.RequestID == "" || verdict.RequestID == req.ID {
 			a.resp, a.Verdict = resp, verdict
+			a.client.heard(a.target, verdict, req.ID)
 			a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 			return nil
 		}
@@ -181,6 +189,14 @@
 	return errStray
 }
 
+// heard passes on what an answer says of its endpoint. Only one that names the request is the endpoint's own; one from
+// another endpoint at the address says nothing of the one addressed.
+func (c *Client) heard(target Target, v dialect.Verdict, id string) {
+	if v.Leaving && v.RequestID == id && !v.Misdirected && c.events.Leaving != nil {
+		c.events.Leaving(target)
+	}
+}
+
 // skip reads the body of an answer to another request.
 func skip(resp *http.Response) error {
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -216,7 +232,7 @@
 
 func (a *Answer) reusable() bool {
 	framed := a.Length >= 0 || len(a.resp.TransferEncoding) > 0
-	return a.whole && framed && !a.resp.Close && !a.Verdict.Leaving && a.conn.reader.Buffered() == 0
+	return a.whole && framed && !a.resp.Close && !a.Verdict.Closes && a.conn.reader.Buffered() == 0
 }
 
 // abandon closes the connection of a request that has failed.
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -20,7 +20,10 @@
 type testDialect struct{ dialect.Dialect }
 
 func (testDialect) Judge(status int, h http.Header) dialect.Verdict {
-	return dialect.Verdict{RequestID: h.Get("Id"), NotRun: status == http.StatusServiceUnavailable, Signed: true}
+	return dialect.Verdict{
+		RequestID: h.Get("Id"), NotRun: status == http.StatusServiceUnavailable, Misdirected: status == http.StatusMisdirectedRequest,
+		Signed: true, Leaving: h.Get("Going") != "",
+	}
 }
 
 // endpoint is a server whose connections are handled by a script.
@@ -96,7 +99,7 @@
 func newClient(t *testing.T) *Client {
 	pools := NewPools()
 	t.Cleanup(pools.Close)
-	return NewClient(pools, testDialect{}, nil)
+	return NewClient(pools, testDialect{}, Events{})
 }
 
 func request(id string) Request {
@@ -341,3 +344,34 @@
 	}
 	require.False(t, Ended(nil))
 }
+
+// Only an endpoint's own answer to the request says that the endpoint leaves.
+func TestLeavingIsHeardFromTheEndpointItselfOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		head  string
+		heard int
+	}{
+		"its own":          {"200 OK\r\nId: a\r\nGoing: 1", 1},
+		"a rejection":      {"503 Busy\r\nId: a\r\nGoing: 1", 1},
+		"no name":          {"200 OK\r\nGoing: 1", 0},
+		"to another":       {"200 OK\r\nId: b\r\nGoing: 1", 0},
+		"another endpoint": {"421 Other\r\nId: a\r\nGoing: 1", 0},
+		"staying":          {"200 OK\r\nId: a", 0},
+	} {
+		e := listen(t, func(e *endpoint, conn net.Conn, r *bufio.Reader) {
+			e.read(r)
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+c.head+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		pools := NewPools()
+		heard := 0
+		client := NewClient(pools, testDialect{}, Events{Leaving: func(target Target) {
+			require.Equal(t, e.target(), target)
+			heard++
+		}})
+		if answer, err := client.Send(t.Context(), e.target(), request("a")); err == nil {
+			answer.Close()
+		}
+		pools.Close()
+		require.Equal(t, c.heard, heard, name)
+	}
+}
