Keep to the pause that an endpoint asks for with a 503

The newest rules let an endpoint ask for a pause with Retry-After.

Cause: it was not read; a rejection even counted as a good sign.

Change: the endpoint is no candidate at this VM until the pause is over, also if it is the only one. When all that are left pause, a request is refused at once with when the first pause ends. After it, VMs come back spread over a quarter of it (1 s at most), with one request at a time until one is taken. Absent and zero ask for nothing, malformed is logged and asks for nothing, more than an hour is logged and kept as an hour. Orders, reports and health checks are no callers' requests and go on. Event endpoint_paused, counter dispatch.pauses, in the dump's conditions.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -54,7 +54,7 @@
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg:        cfg,
-		conditions: newConditions(cfg.Log),
+		conditions: newConditions(cfg.Metrics, cfg.Log),
 		memory:     newMemory(),
 		spreads:    newSpreads(),
 		reports:    newReports(cfg.Engines, cfg.Log),
@@ -86,9 +86,10 @@
 
 // Place implements gateway.Dispatcher.
 func (d *Dispatcher) Place(ctx context.Context, w gateway.Work) (gateway.Place, error) {
-	candidates := d.conditions.candidates(d.cfg.Roster.View().Group(w.Group.Name), w.Exclude, time.Now())
+	group, now := d.cfg.Roster.View().Group(w.Group.Name), time.Now()
+	candidates := d.conditions.candidates(group, w.Exclude, now)
 	if len(candidates) == 0 {
-		return gateway.Place{}, result.New(result.NoEndpoint, "no endpoint takes requests for the route")
+		return gateway.Place{}, d.none(group, now)
 	}
 	if w.Group.Engine == nil {
 		e, cost := d.conditions.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
@@ -98,6 +99,17 @@
 	return d.placeAtEngine(ctx, w, candidates)
 }
 
+// none is the refusal of a request that no endpoint takes.
+func (d *Dispatcher) none(group []roster.Endpoint, now time.Time) error {
+	until := d.conditions.pausedUntil(group, now)
+	if until.IsZero() {
+		return result.New(result.NoEndpoint, "no endpoint takes requests for the route")
+	}
+	e := result.New(result.QueueFull, "the endpoints that are left have asked for a pause")
+	e.RetryAfter = max(until.Sub(now), soonest)
+	return e
+}
+
 // logPlaced writes the line of a request that goes to an endpoint, with what has decided it.
 func (d *Dispatcher) logPlaced(w gateway.Work, e roster.Endpoint, why logrus.Fields) {
 	d.cfg.Log.WithFields(why).WithFields(logrus.Fields{
@@ -109,9 +121,7 @@
 // place returns a place and notes the request that goes there. expected is the time to the first part of
 // its answer.
 func (d *Dispatcher) place(e roster.Endpoint, version int, expected time.Duration, notify func(orders.Notice)) gateway.Place {
-	d.conditions.mu.Lock()
-	d.conditions.get(e.Incarnation).sent(time.Now(), expected)
-	d.conditions.mu.Unlock()
+	trial := d.conditions.sent(e.Incarnation, time.Now(), expected)
 	alive := func() {
 		d.conditions.mu.Lock()
 		defer d.conditions.mu.Unlock()
@@ -126,9 +136,7 @@
 		},
 		Progress: alive,
 		Done: func(o gateway.Outcome) {
-			d.conditions.mu.Lock()
-			d.conditions.get(e.Incarnation).ended(o, time.Now())
-			d.conditions.mu.Unlock()
+			d.conditions.done(e.Incarnation, o, trial, time.Now())
 			notify(orders.Notice{Ended: true, Missing: o.NotLoaded})
 		},
 	}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -312,7 +312,7 @@
 // open reports whether the endpoint still takes new requests.
 func (d *Dispatcher) open(e roster.Endpoint) bool {
 	now, ok := d.cfg.Roster.View().Endpoint(e.ID)
-	return ok && now.Incarnation == e.Incarnation && !now.Draining
+	return ok && now.Incarnation == e.Incarnation && !now.Draining && d.conditions.pausedUntil([]roster.Endpoint{now}, time.Now()).IsZero()
 }
 
 // placeWhereFound returns a place without a permit at an engine whose owner cannot be reached, if requests
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
@@ -24,6 +26,11 @@
 	maxBackoff   = 2 * time.Second
 	// silence is how long an endpoint with requests may send nothing before it is avoided.
 	silence = 600 * time.Millisecond
+	// maxPauseSpread bounds the time over which VMs spread their first requests after a pause that an endpoint has asked
+	// for; it is a quarter of the pause if that is less.
+	maxPauseSpread = time.Second
+	// trialStep is when to come back for an endpoint that takes one request at a time after a pause.
+	trialStep = 50 * time.Millisecond
 	// latencyRate is the weight of a new time in the average.
 	latencyRate = 0.2
 	// firstLatency is assumed before a time was measured.
@@ -42,10 +49,36 @@
 	avoidUntil time.Time
 	latency    time.Duration
 	seen       time.Time
+	// pausedUntil is until when the endpoint wants no requests from this VM. After that, trial says that it gets one at a
+	// time until it takes one: all VMs come back at about the same moment.
+	pausedUntil time.Time
+	trial       bool
+	// trying says that such a request is under way.
+	trying bool
 	// avoided says that the endpoint was unfit when it was last looked at.
 	avoided bool
 }
 
+// paused returns until when the endpoint must get no request, zero if it may get one now.
+func (c *condition) paused(now time.Time) time.Time {
+	switch {
+	case now.Before(c.pausedUntil):
+		return c.pausedUntil
+	case c.trying:
+		return now.Add(trialStep)
+	}
+	return time.Time{}
+}
+
+// pause notes that the endpoint wants no requests for d. luck, from 0 to 1, spreads the VMs' first requests after it.
+func (c *condition) pause(d time.Duration, luck float64, now time.Time) {
+	spread := time.Duration(luck * float64(min(d/4, maxPauseSpread)))
+	if until := now.Add(d + spread); until.After(c.pausedUntil) {
+		c.pausedUntil = until
+	}
+	c.trial, c.trying = true, false
+}
+
 // share returns the decayed share of failures.
 func (c *condition) share(now time.Time) float64 {
 	if c.failures == 0 {
@@ -94,6 +127,36 @@
 	return !c.avoided
 }
 
+// sent notes a request that goes to the endpoint. It reports whether that is the only one after a pause.
+func (s *conditions) sent(id roster.Incarnation, now time.Time, expected time.Duration) (trial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.get(id)
+	c.sent(now, expected)
+	c.trying = c.trying || c.trial
+	return c.trial
+}
+
+// done notes how the endpoint fared with a request, which was the only one after a pause if trial.
+func (s *conditions) done(id roster.Incarnation, o gateway.Outcome, trial bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.get(id)
+	if c.ended(o, now); trial {
+		c.trying = false
+		c.trial = o.Cut || o.Unreachable || o.Rejected || o.Failed
+	}
+	if o.Pause == 0 {
+		return
+	}
+	c.pause(o.Pause, s.luck(), now)
+	s.pauses.Inc(1)
+	s.log.WithFields(logrus.Fields{
+		"event": "endpoint_paused", "endpoint": id.ID, "started": id.Started, "asked": o.Pause,
+		"until": c.pausedUntil.Sub(now).Round(time.Millisecond), "outstanding": c.outstanding,
+	}).Info()
+}
+
 // sent notes a request that goes to the endpoint, and the time that its answer is expected to take to begin.
 func (c *condition) sent(now time.Time, expected time.Duration) {
 	if c.outstanding == 0 {
@@ -118,7 +181,7 @@
 	case o.Unreachable:
 		c.backoff = min(max(2*c.backoff, firstBackoff), maxBackoff)
 		c.avoidUntil = now.Add(c.backoff)
-	case o.Cut:
+	case o.Cut, o.Pause > 0:
 	case o.Failed:
 		c.note(1, now)
 		c.quietSince = now
@@ -159,13 +222,22 @@
 // conditions are those of all endpoints. They are safe for concurrent use.
 type conditions struct {
 	log logrus.FieldLogger
+	// pauses counts the pauses that endpoints have asked for; luck returns a random number from 0 to 1.
+	pauses metrics.Counter
+	luck   func() float64
 
 	mu   sync.Mutex
 	list map[roster.Incarnation]*condition // guarded by mu
 }
 
-func newConditions(log logrus.FieldLogger) *conditions {
-	return &conditions{log: log, list: map[roster.Incarnation]*condition{}}
+// metricPauses counts the pauses that endpoints have asked for.
+const metricPauses = "dispatch.pauses"
+
+func newConditions(registry metrics.Registry, log logrus.FieldLogger) *conditions {
+	return &conditions{
+		log: log, pauses: metrics.GetOrRegisterCounter(metricPauses, registry), luck: rand.Float64,
+		list: map[roster.Incarnation]*condition{},
+	}
 }
 
 // get returns the condition of an endpoint. s.mu is held.
@@ -184,6 +256,8 @@
 	Avoided     string  `json:"avoided"`
 	Outstanding int     `json:"outstanding"`
 	Failures    float64 `json:"failures"`
+	// Paused is for how much longer the endpoint wants no requests from this VM.
+	Paused string `json:"paused"`
 	// Latency is the time to the first part of an answer.
 	Latency string `json:"latency"`
 }
@@ -199,7 +273,7 @@
 	}
 	return Condition{
 		Avoided: c.unfit(now), Outstanding: c.outstanding, Failures: c.share(now),
-		Latency: c.latency.Round(time.Millisecond).String(),
+		Latency: c.latency.Round(time.Millisecond).String(), Paused: max(0, c.pausedUntil.Sub(now)).Round(time.Millisecond).String(),
 	}
 }
 
@@ -211,7 +285,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, c := range s.list {
-		if c.outstanding == 0 && now.Sub(c.seen) > forgetAfter {
+		if c.outstanding == 0 && now.Sub(c.seen) > forgetAfter && now.After(c.pausedUntil) {
 			delete(s.list, id)
 		}
 	}
--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
@@ -39,7 +40,7 @@
 // The log says when and why an endpoint is avoided, and when it no longer is.
 func TestConditionsAreLoggedWhenTheyChange(t *testing.T) {
 	log, lines := test.NewNullLogger()
-	s := newConditions(log)
+	s := newConditions(metrics.NewRegistry(), log)
 	for range 4 {
 		s.play("a", gateway.Outcome{Failed: true}, start)
 	}
@@ -63,7 +64,7 @@
 
 // Endpoints that fail requests while their health is good are avoided, and tried again later.
 func TestFailingEndpointsAreAvoided(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	for range 4 {
 		s.play("a", gateway.Outcome{Failed: true}, start)
 		s.play("b", gateway.Outcome{First: 10 * time.Millisecond}, start)
@@ -74,7 +75,7 @@
 
 // When all endpoints fail, none is avoided.
 func TestAllEndpointsFail(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	for range 4 {
 		s.play("a", gateway.Outcome{Failed: true}, start)
 		s.play("b", gateway.Outcome{Failed: true}, start)
@@ -83,7 +84,7 @@
 }
 
 func TestAnUnreachableEndpointIsTriedAgainAfterABackoff(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	s.play("a", gateway.Outcome{Unreachable: true}, start)
 	require.Equal(t, []string{"b"}, ids(s.candidates(endpoints("a", "b"), nil, start)))
 	soon := start.Add(firstBackoff)
@@ -96,7 +97,7 @@
 
 // An endpoint that has requests and sends nothing for a while is avoided until it sends again.
 func TestASilentEndpointIsAvoided(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	c := s.get(roster.Incarnation{ID: "a"})
 	c.sent(start, 0)
 	late := start.Add(silence + time.Millisecond)
@@ -109,7 +110,7 @@
 // engine silent as long as the answer begins about when it is due and its parts keep coming.
 func TestALongAnswerIsNoSilence(t *testing.T) {
 	const queue = 500 * time.Millisecond
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	c := s.get(roster.Incarnation{ID: "a"})
 	c.sent(start, queue)
 	now := start.Add(queue + silence)
@@ -135,7 +136,7 @@
 }
 
 func TestLeavingAndExcludedEndpointsAreLeftOut(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	list := endpoints("a", "b", "c")
 	list[0].Draining = true
 	require.Equal(t, []string{"c"}, ids(s.candidates(list, []string{"b"}, start)))
@@ -144,7 +145,7 @@
 
 // The work spreads by expected time: slower endpoints and those with more requests get fewer.
 func TestServiceSpreadsByExpectedTime(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	list := endpoints("fast", "slow")
 	s.play("fast", gateway.Outcome{First: 10 * time.Millisecond}, start)
 	s.play("slow", gateway.Outcome{First: 40 * time.Millisecond}, start)
@@ -158,7 +159,7 @@
 }
 
 func TestServicePrefersItsFailureDomain(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	list := endpoints("far", "near")
 	list[0].FailureDomain = "there"
 	picked, _ := s.pickService(list, "here", func(int) int { return 0 })
@@ -169,7 +170,7 @@
 }
 
 func TestSweepForgets(t *testing.T) {
-	s := newConditions(quiet())
+	s := newConditions(metrics.NewRegistry(), quiet())
 	s.play("a", gateway.Outcome{}, start)
 	s.get(roster.Incarnation{ID: "b"}).sent(start, 0)
 	s.sweep(start.Add(2 * forgetAfter))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,6 +55,8 @@
 	// adapter.
 	Rejected  bool
 	NotLoaded bool
+	// Pause is how long the endpoint wants no further requests from this VM.
+	Pause time.Duration
 	// Failed says that the endpoint failed the request: no answer, a broken one, or an error status.
 	Failed bool
 	// Cut says that the caller left or its time ended first: nothing is known of the endpoint.
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -74,7 +74,7 @@
 	if failed {
 		c.logAttempt("failed", errors.Errorf("status %d", answer.status))
 	}
-	c.drop(Outcome{Failed: failed, First: c.first})
+	c.drop(Outcome{Failed: failed, First: c.first, Pause: c.pause()})
 	if failed && c.route.Idempotent {
 		if event := c.repeat(nil); event == eventAgain {
 			c.spare = answer
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/chart"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
@@ -92,10 +93,22 @@
 func (c *call) rejected() chart.Event {
 	missing := c.answer.Verdict.Misdirected
 	c.logAttempt("rejected", errors.Errorf("status %d", c.answer.Status))
-	c.drop(Outcome{Rejected: true, NotLoaded: missing})
+	c.drop(Outcome{Rejected: true, NotLoaded: missing, Pause: c.pause()})
 	return c.another(result.New(result.QueueFull, "the endpoints are full"), true)
 }
 
+// pause returns how long the endpoint wants no further requests from this VM, and logs what it has said if that is not kept
+// to.
+func (c *call) pause() time.Duration {
+	v := c.answer.Verdict
+	if v.PauseText != "" {
+		c.g.cfg.Log.WithFields(logrus.Fields{
+			"event": "pause_not_kept", "id": c.terms.ID, "endpoint": c.place.Endpoint.ID, "asked": v.PauseText, "pause": v.Pause,
+		}).Warn()
+	}
+	return v.Pause
+}
+
 // drop ends the use of the answer and tells the dispatcher.
 func (c *call) drop(o Outcome) {
 	c.answer.Close()
