Give up on answers that do not end; bound what is held of bodies and answers

And, found while looking for what else the direct path had left behind: callers that announce large bodies make a VM take their memory before anything has arrived, and one that stops in the middle of its body is waited for without end.

Cause: heads were read without a bound, events of streams were kept until their end, bodies without a stated length were passed on as they came, and a body's memory was taken as announced. pkg/entry had a budget and a time for bodies; the gateway did not.

Streams are passed on by whole events, each line of which must be a field. What bodies and answers hold comes out of a fifth of the VM's memory (pkg/memory, moved from pkg/entry); beyond it, answers of stated length pass through, other requests are refused or fail. A body must arrive within the request's time. Whatever breaks these counts as the endpoint's failure.

TestAnswersWithoutEnd and TestBodiesWithoutEndAreNoAnswers failed before (the first by waiting out its time).

The soak learns endpoints that leave without the list, ask for a pause, or send without end (TestFaultsOfEndpoints), with checks that TestChecksFindBrokenPromises holds.

--- a/pkg/daemon/traffic.go
+++ b/pkg/daemon/traffic.go
@@ -15,6 +15,7 @@
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/ledger"
 	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/owner"
 	"github.com/mallowlink/mallowlink/pkg/platform"
 	"github.com/mallowlink/mallowlink/pkg/quota"
@@ -123,16 +124,16 @@
 // memoryPerVM bounds the bytes of callers' bodies and unfinished answers.
 const memoryPerVM = 256 << 20
 
-func newMemory() *entry.Memory { return entry.NewMemory(memoryPerVM) }
+func newMemory() *memory.Budget { return memory.NewBudget(memoryPerVM) }
 
-func newRequests(d *owner.Directory, q quotas, l *ledger.Ledger, table *suspect.Table, a *suspect.PeerAnnouncer, memory *entry.Memory, registry metrics.Registry, log logrus.FieldLogger) *request.Service {
+func newRequests(d *owner.Directory, q quotas, l *ledger.Ledger, table *suspect.Table, a *suspect.PeerAnnouncer, held *memory.Budget, registry metrics.Registry, log logrus.FieldLogger) *request.Service {
 	return request.NewService(request.Config{
 		Directory: d,
 		Quota:     q.holder,
 		Ledger:    l,
 		Suspects:  suspect.NewGuard(table, a),
 		Retries:   retry.New(),
-		Memory:    memory,
+		Memory:    held,
 		Metrics:   registry,
 		Log:       log,
 	})
@@ -141,12 +142,12 @@
 // errNoBundle is why a VM without a bundle is not ready.
 var errNoBundle = errors.New("no bundle yet")
 
-func newHandler(s settings.Settings, follower *rollout.Follower, requests *request.Service, memory *entry.Memory, registry metrics.Registry, log logrus.FieldLogger) *entry.Handler {
+func newHandler(s settings.Settings, follower *rollout.Follower, requests *request.Service, held *memory.Budget, registry metrics.Registry, log logrus.FieldLogger) *entry.Handler {
 	return entry.NewHandler(entry.Config{
 		Source:  follower,
 		Runner:  requests,
 		Limits:  entryLimits(s),
-		Memory:  memory,
+		Memory:  held,
 		Metrics: registry,
 		Log:     log,
 		Ready: func() error {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/ledger"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/request"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/retry"
@@ -91,7 +92,7 @@
 	directory.Set("engines", owner)
 	directory.Set("services", owner)
 	limits := DefaultLimits()
-	memory := NewMemory(limits.MaxMemory)
+	held := memory.NewBudget(limits.MaxMemory)
 	registry := metrics.NewRegistry()
 	service := request.NewService(request.Config{
 		Directory: directory,
@@ -99,14 +100,14 @@
 		Ledger:    ledger.New(nil, request.OwnerProver{Directory: directory}, registry, quietLog()),
 		Suspects:  suspect.NewGuard(suspect.NewTable(suspect.OwnerLimits()), nil),
 		Retries:   retry.New(),
-		Memory:    memory,
+		Memory:    held,
 		Metrics:   registry,
 		Log:       quietLog(),
 	})
 	source := &staticSource{}
 	source.bundle.Store(testBundle())
 	handler := NewHandler(Config{
-		Source: source, Runner: service, Limits: limits, Memory: memory,
+		Source: source, Runner: service, Limits: limits, Memory: held,
 		Metrics: registry, Log: quietLog(), Ready: func() error { return nil },
 	})
 	server := httptest.NewUnstartedServer(handler)
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -19,6 +19,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/httpheader"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/request"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
@@ -34,7 +35,7 @@
 	Runner Runner
 	Limits Limits
 	// Memory is shared with the Runner.
-	Memory  *Memory
+	Memory  *memory.Budget
 	Metrics metrics.Registry
 	Log     logrus.FieldLogger
 	// Ready says why the VM is not ready for callers, or nil.
@@ -46,7 +47,7 @@
 	source  Source
 	runner  Runner
 	limits  Limits
-	memory  *Memory
+	memory  *memory.Budget
 	log     logrus.FieldLogger
 	ready   func() error
 	metrics counters
--- a/pkg/entry/limits.go
+++ b/pkg/entry/limits.go
@@ -2,13 +2,12 @@
 
 import (
 	"crypto/tls"
-	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
 
@@ -52,39 +51,8 @@
 	}
 }
 
-// Memory bounds the bytes held for callers. It is safe for concurrent use.
-type Memory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NewMemory returns a Memory of limit bytes.
-func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
-
-// Take reserves n bytes, or reports false.
-func (m *Memory) Take(n int64) bool {
-	if m.used.Add(n) <= m.limit {
-		return true
-	}
-	m.used.Add(-n)
-	return false
-}
-
-// Give gives n bytes back.
-func (m *Memory) Give(n int64) { m.used.Add(-n) }
-
-// Used returns the bytes reserved.
-func (m *Memory) Used() int64 { return m.used.Load() }
-
-const (
-	// firstRead is the buffer with which the reading of a body begins.
-	firstRead = 4 << 10
-	// memoryRetryAfter is when a caller is told to come back if there is no memory for its request.
-	memoryRetryAfter = time.Second
-)
-
-// errTooLarge says that a body exceeds Limits.MaxBody.
-var errTooLarge = errors.New("entry: body too large")
+// memoryRetryAfter is when a caller is told to come back if there is no memory for its request.
+const memoryRetryAfter = time.Second
 
 // readBody reads the request's body. The memory that it takes, held, is given back by the caller.
 func (h *Handler) readBody(w *writer, r *http.Request) (body []byte, held int64, e *result.Error) {
@@ -99,15 +67,15 @@
 	}
 	// A connection without deadlines is a test's recorder.
 	_ = w.control.SetReadDeadline(time.Now().Add(h.limits.BodyTimeout))
-	body, held, err := h.grow(r.Body)
+	body, held, err := h.memory.ReadAll(r.Body, r.ContentLength, h.limits.MaxBody)
 	_ = w.control.SetReadDeadline(time.Time{})
 	switch {
 	case err == nil:
 		return body, held, nil
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memory.ErrExhausted):
 		e = result.New(result.QueueFull, "no memory for the body")
 		e.RetryAfter = memoryRetryAfter
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, memory.ErrTooLarge):
 		e = result.New(result.BodyTooLarge, "the body is too large")
 	default:
 		e = result.New(result.MalformedBody, "the body did not arrive whole")
@@ -116,36 +84,6 @@
 	return nil, held, e
 }
 
-// errNoMemory says that the memory for callers is used up.
-var errNoMemory = errors.New("entry: no memory")
-
-// grow reads all of src. The buffer grows with what has arrived, not with what was announced.
-func (h *Handler) grow(src io.Reader) (body []byte, held int64, err error) {
-	for {
-		if len(body) == cap(body) {
-			more := max(firstRead, cap(body))
-			if !h.memory.Take(int64(more)) {
-				return nil, held, errNoMemory
-			}
-			held += int64(more)
-			next := make([]byte, len(body), len(body)+more)
-			copy(next, body)
-			body = next
-		}
-		n, err := src.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if int64(len(body)) > h.limits.MaxBody {
-			return nil, held, errTooLarge
-		}
-		if err == io.EOF {
-			return body, held, nil
-		}
-		if err != nil {
-			return nil, held, err
-		}
-	}
-}
-
 // NewHTTPServer returns the server of the callers' connections. It is served on a listener of callers.Limit.
 func NewHTTPServer(h *Handler, tlsConfig *tls.Config) *http.Server {
 	return &http.Server{
--- a/pkg/entry/limits_test.go
+++ b/pkg/entry/limits_test.go
@@ -60,7 +60,7 @@
 
 func TestMemoryLimit(t *testing.T) {
 	s := newSite(t, threePieces)
-	s.handler.memory.limit = 100
+	s.handler.memory.SetLimit(100)
 	status, body, header := s.do(t, "POST", "/issues", "x", nil)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Contains(t, string(body), "queue-full")
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,6 +13,7 @@
 	"github.com/mallowlink/mallowlink/pkg/chart"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/httpheader"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/route"
@@ -66,6 +67,8 @@
 	// urgency ranks the request; 0 is first.
 	urgency int
 	body    []byte
+	// held is the memory that the request has taken, in bytes.
+	held int64
 	// identity is the request's fingerprint, 0 until it has been computed.
 	identity uint64
 	// suspected says that the request is counted as a suspect at its endpoint.
@@ -119,6 +122,7 @@
 		if c.cancel != nil {
 			c.cancel()
 		}
+		c.g.cfg.Memory.Give(c.held)
 	}()
 	for {
 		step, ok := steps[c.machine.State()]
@@ -247,24 +251,30 @@
 	if limit > 0 && c.r.ContentLength > limit {
 		return result.New(result.BodyTooLarge, "the body is larger than the limit")
 	}
-	reader := io.Reader(c.r.Body)
-	if limit > 0 {
-		reader = io.LimitReader(reader, limit+1)
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
 	}
+	// A connection without deadlines is a test's recorder.
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.deadline)
+	var held int64
 	var err error
-	if n := c.r.ContentLength; n >= 0 {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(reader, c.body)
-	} else {
-		c.body, err = io.ReadAll(reader)
-	}
-	if err != nil {
-		return result.New(result.MalformedBody, "the body ended early")
+	c.body, held, err = c.g.cfg.Memory.ReadAll(c.r.Body, c.r.ContentLength, limit)
+	c.held += held
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		return nil
 	}
-	if limit > 0 && int64(len(c.body)) > limit {
+	c.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		return result.New(result.QueueFull, "no memory for the body")
+	case errors.Is(err, memory.ErrTooLarge):
 		return result.New(result.BodyTooLarge, "the body is larger than the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.New(result.DeadlineTooNear, "the body has not arrived in time")
 	}
-	return nil
+	return result.New(result.MalformedBody, "the body ended early")
 }
 
 // admit spends the account's tokens.
--- /dev/null
+++ b/pkg/gateway/endless_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/result"
+)
+
+// pour writes text again and again until the caller closes.
+func pour(w io.Writer, text string) {
+	for chunk := []byte(strings.Repeat(text, 1+4096/len(text))); ; {
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+	}
+}
+
+// raw answers with bytes of its own, and then with text without end.
+func raw(head, text string) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, out, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = out.WriteString(strings.ReplaceAll(head, "ID", r.Header.Get("Id")))
+		pour(out, text)
+	}
+}
+
+const okHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n"
+
+// Bytes that are no answer, without end, are given up on: the endpoint has failed, its connection is closed, the request
+// ends as its route allows, and the caller gets none of the bytes.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const mark = "junk"
+	for name, endless := range map[string]handler{
+		"status line": raw("HTTP/1.1 200 ", mark),
+		"no answer":   raw("", mark),
+		"field":       raw(okHead+"X: ", mark),
+		"fields":      raw(okHead, "X: "+mark+"\r\n"),
+		"event":       raw(okHead+"Transfer-Encoding: chunked\r\n\r\n", "4\r\n"+mark+"\r\n"),
+		"no event":    raw(okHead+"\r\n", "\x00"+mark+"\n\n"),
+	} {
+		for _, path := range []string{"/safe/", "/resume/", "/stream/"} {
+			if strings.Contains(name, "event") && path == "/safe/" {
+				continue
+			}
+			b := newBench(t, endless, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "id: 1\n\n") })
+			a := b.do(path, nil, "")
+			require.NotContains(t, a.body, mark, "%s %s", name, path)
+			require.True(t, b.places.outcomes[0].Failed, "%s %s", name, path)
+			if path == "/stream/" {
+				require.Equal(t, 502, a.status, "%s: it may have run", name)
+			} else {
+				require.Equal(t, "id: 1\n\n", a.body, "%s %s", name, path)
+			}
+			require.Zero(t, b.memory.Used())
+		}
+	}
+}
+
+// Of a body whose length is not stated and that does not end the caller gets nothing either.
+func TestBodiesWithoutEndAreNoAnswers(t *testing.T) {
+	for _, body := range []string{"junk", "4\r\njunk\r\n"} {
+		head := okHead + "\r\n"
+		if body != "junk" {
+			head = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+		}
+		b := newBench(t, raw(head, body), say("whole"))
+		b.memory.SetLimit(64 << 20)
+		a := b.do("/unsafe/", nil, "")
+		require.Equal(t, 502, a.status)
+		require.NotContains(t, a.body, "junk")
+		require.Equal(t, "whole", b.do("/safe/", nil, "").body)
+		require.True(t, b.places.outcomes[0].Failed)
+		require.Zero(t, b.memory.Used())
+	}
+}
+
+// Where there is no memory to hold an answer, it is passed on as it arrives; where there is none for a request's body, the
+// request is refused, and for an event, the stream breaks.
+func TestTheMemoryOfBodiesAndAnswersIsBounded(t *testing.T) {
+	long := strings.Repeat("x", 50_000)
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(long)))
+		_, _ = io.WriteString(w, long)
+	})
+	b.memory.SetLimit(8000)
+	require.Equal(t, long, b.do("/safe/", nil, "").body)
+	b.rules.Bundle.Callers.BodyBytes = 0
+	a := b.doChunked("/safe/", long)
+	require.Equal(t, 503, a.status)
+	require.Equal(t, strconv.Itoa(int(result.QueueFull)), a.header.Get(headerCode))
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Zero(t, b.memory.Used())
+
+	b = newBench(t, say("data: "+long+"\n\n"))
+	require.Equal(t, 8+len(long), len(b.do("/stream/", nil, "").body))
+	b.memory.SetLimit(8000)
+	a = b.do("/stream/", nil, "")
+	require.Equal(t, 502, a.status)
+	require.False(t, bytes.Contains([]byte(a.body), []byte("x")))
+	require.Zero(t, b.memory.Used())
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/retry"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/route"
@@ -108,6 +109,8 @@
 	Dispatcher Dispatcher
 	Upstream   *upstream.Client
 	Suspects   Suspects
+	// Memory bounds what is held of bodies and answers.
+	Memory *memory.Budget
 	// Retries returns the bound of repeats to a group.
 	Retries func(group string) *retry.Window
 	Metrics metrics.Registry
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/retry"
 	"github.com/mallowlink/mallowlink/pkg/roster"
@@ -141,6 +142,7 @@
 	server  *httptest.Server
 	seen    chan *http.Request
 	lines   *test.Hook
+	memory  *memory.Budget
 }
 
 // handler plays an endpoint.
@@ -150,6 +152,7 @@
 	b := &bench{
 		t: t, places: &fixedPlaces{}, quota: &tokens{left: 1000}, valid: true,
 		retries: retry.NewWindow(10*time.Second, 0, func() float64 { return 3 }), seen: make(chan *http.Request, 100),
+		memory: memory.NewBudget(1 << 20),
 	}
 	for i, h := range endpoints {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -183,7 +186,7 @@
 	b.lines = lines
 	g := New(Config{
 		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.valid }, RulesAge: func() time.Duration { return 0 }, Dialect: testDialect{},
-		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{}), Suspects: b.suspects(),
+		Quota: b.quota, Dispatcher: b.places, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{}), Suspects: b.suspects(), Memory: b.memory,
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	b.server = httptest.NewServer(g)
@@ -549,7 +552,9 @@
 		var out strings.Builder
 		for rest := text; len(rest) > 0; {
 			n := min(size, len(rest))
-			whole := string(c.cut([]byte(rest[:n])))
+			cut, err := c.cut([]byte(rest[:n]))
+			require.NoError(t, err)
+			whole := string(cut)
 			require.True(t, whole == "" || strings.HasSuffix(whole, "\n\n"))
 			out.WriteString(whole)
 			rest = rest[n:]
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/mallowlink/mallowlink/pkg/chart"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/result"
 )
 
@@ -34,6 +35,8 @@
 	// lastEvent is the number of the last whole event passed on, of a stream that can be resumed.
 	lastEvent string
 	events    eventCutter
+	// held is the memory that is taken for an event whose end has not arrived, in bytes.
+	held int64
 }
 
 // pass passes the answer on.
@@ -58,14 +61,21 @@
 	return event
 }
 
-// passWhole reads an answer to its end and passes it on. A larger one is passed on piece by piece.
+// passWhole reads an answer to its end and passes it on. A larger one is passed on piece by piece, but for one whose length
+// is not stated: it may have no end, and nothing of it is an answer then.
 func (c *call) passWhole() chart.Event {
-	body, err := io.ReadAll(io.LimitReader(c.answer, wholeLimit))
-	if err != nil {
+	stated := c.answer.Length >= 0
+	reader := io.Reader(c.answer)
+	if stated {
+		reader = io.LimitReader(reader, wholeLimit)
+	}
+	body, held, err := c.g.cfg.Memory.ReadAll(reader, c.answer.Length, 0)
+	c.held += held
+	if err != nil && !(stated && errors.Is(err, memory.ErrExhausted)) {
 		return c.cutShort(err)
 	}
 	c.noteFirst()
-	if len(body) == wholeLimit {
+	if err != nil || stated && len(body) == wholeLimit {
 		return c.passLong(body)
 	}
 	answer := &stored{status: c.answer.Status, header: c.answer.Header, body: body}
@@ -115,7 +125,11 @@
 		if n > 0 {
 			c.noteFirst()
 			c.noteProgress()
-			if !c.passPiece(buffer[:n], flusher) {
+			whole, err := c.wholeEvents(buffer[:n])
+			if err != nil {
+				return c.cutShort(err)
+			}
+			if len(whole) > 0 && !c.passPiece(whole, flusher) {
 				return c.callerLeft()
 			}
 		}
@@ -128,15 +142,25 @@
 	}
 }
 
-// passPiece passes on a piece of a stream. Of one that can be resumed only whole events are passed
-// on, so that the resumed stream joins the first without a break.
-func (c *call) passPiece(piece []byte, flusher http.Flusher) bool {
-	if c.route.Resumable {
-		piece = c.relay.events.cut(piece)
-		if len(piece) == 0 {
-			return true
+// wholeEvents returns the events that are complete with a piece of a stream. Only whole ones are passed on, so that a
+// resumed stream joins the first without a break, and bytes that are no event never reach the caller.
+func (c *call) wholeEvents(piece []byte) ([]byte, error) {
+	whole, err := c.relay.events.cut(piece)
+	if err != nil {
+		return nil, err
+	}
+	if more := int64(cap(c.relay.events.pending)) - c.relay.held; more > 0 {
+		if !c.g.cfg.Memory.Take(more) {
+			return nil, memory.ErrExhausted
 		}
+		c.relay.held += more
+		c.held += more
 	}
+	return whole, nil
+}
+
+// passPiece passes on whole events of a stream.
+func (c *call) passPiece(piece []byte, flusher http.Flusher) bool {
 	if !c.relay.begun {
 		c.head(c.answer.Status, c.answer.Header, -1)
 	}
@@ -154,6 +178,9 @@
 
 // endStream ends a whole stream.
 func (c *call) endStream() chart.Event {
+	if err := c.relay.events.check(c.relay.events.rest()); err != nil {
+		return c.cutShort(err)
+	}
 	if !c.relay.begun {
 		c.head(c.answer.Status, c.answer.Header, -1)
 	}
--- a/pkg/gatewayd/parts.go
+++ b/pkg/gatewayd/parts.go
@@ -20,6 +20,7 @@
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
 	"github.com/mallowlink/mallowlink/pkg/relay"
@@ -323,12 +324,32 @@
 		Dispatcher: d,
 		Upstream:   out.client,
 		Suspects:   sus.watch,
+		Memory:     newMemory(s, registry),
 		Retries:    newRetries(s.Bounds.Retry, f.stewards).of,
 		Metrics:    registry,
 		Log:        log,
 	})
 }
 
+const (
+	// heldShare is the part of a VM's memory that bodies and answers under way may take, and heldDefault what they may take
+	// where the settings do not bound it.
+	heldShare   = 0.2
+	heldDefault = 64 << 20
+	// metricHeld is the gauge of what they take, in bytes.
+	metricHeld = "gateway.memory_held"
+)
+
+func newMemory(s Settings, registry metrics.Registry) *memory.Budget {
+	limit := int64(heldShare * float64(s.Limits.MemoryBytes))
+	if limit == 0 {
+		limit = heldDefault
+	}
+	budget := memory.NewBudget(limit)
+	metrics.NewRegisteredFunctionalGauge(metricHeld, registry, budget.Used)
+	return budget
+}
+
 // keyShare is the part of the time within which a withdrawn key must stop working for which a VM without
 // news goes on serving keys. The rest is for changes that a feed passes on late, and for requests on
 // their way.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // conn is one connection to an endpoint.
@@ -22,20 +24,37 @@
 	used bool
 	// ended is how the endpoint's side of the connection has ended; nil while it has not.
 	ended error
+	// headLeft is how many more bytes may be read for the head of an answer; negative while no head is read.
+	headLeft int
 }
 
+// maxHead bounds the head of an answer, in bytes. Endpoints' heads take a few hundred.
+const maxHead = 8 << 10
+
+// errEndlessHead says that what an endpoint sends does not end as a head.
+var errEndlessHead = errors.New("the head of the answer does not end")
+
 // readBuffer is the size of a connection's read buffer, in bytes; most events and answers fit.
 const readBuffer = 2 << 10
 
 func newConn(c net.Conn) *conn {
-	cn := &conn{Conn: c}
+	cn := &conn{Conn: c, headLeft: -1}
 	cn.reader = bufio.NewReaderSize(cn, readBuffer)
 	return cn
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errEndlessHead
+	}
+	if c.headLeft > 0 {
+		p = p[:min(len(p), c.headLeft)]
+	}
 	n, err := c.Conn.Read(p)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
 	if Ended(err) {
 		c.ended = err
 	}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -161,13 +161,17 @@
 	conn   *conn
 	stop   func() bool
 	resp   *http.Response
-	whole  bool
+	// read is the number of bytes of the body that have been read.
+	read  int64
+	whole bool
 }
 
 // readHead reads the head of the answer and skips answers to other requests.
 func (a *Answer) readHead(req Request) error {
 	for range maxStray {
+		a.conn.headLeft = maxHead
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: req.Method})
+		a.conn.headLeft = -1
 		if err != nil && a.conn.ended != nil && !Ended(err) {
 			// What had arrived of the head does not look like one.
 			return errors.Wrapf(a.conn.ended, "read head: %v", err)
@@ -209,9 +213,18 @@
 	return err
 }
 
+// maxUnstated bounds a body whose length is not stated, in bytes: such a body is held until its end shows that it has one.
+const maxUnstated = 8 << 20
+
+// errEndlessBody says that a body whose length is not stated does not end.
+var errEndlessBody = errors.New("the body of the answer does not end")
+
 // Read reads from the body. It returns io.EOF only at the end of a whole body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.resp.Body.Read(p)
+	if a.read += int64(n); a.Length < 0 && a.read > maxUnstated {
+		return 0, errEndlessBody
+	}
 	if err == io.EOF {
 		a.whole = true
 	}
--- a/test/soak/checks_find_test.go
+++ b/test/soak/checks_find_test.go
@@ -116,12 +116,31 @@
 		sendFatalTo(t, victim, fmt.Sprint("fatal-", i))
 	}
 
+	quiet := w.addEndpoint(serviceGroup)
+	quiet.LeaveQuietly()
+	for i, sent := range []time.Time{long, time.Now()} {
+		id := fmt.Sprint("after", i)
+		a := add(id, once, func(a *attempt) { a.sent, a.ended = sent, sent })
+		a.signature = standin.Signature(a.expected())
+		sendTo(t, quiet, oncePrefix, standin.Request{ID: id, Account: "large", Patience: 100 * time.Millisecond}, "")
+	}
+	shedding := w.addEndpoint(serviceGroup)
+	shedding.SetTrouble(standin.Trouble{Sheds: 1, Pause: time.Minute})
+	for i := range maxInPause + 2 {
+		id := fmt.Sprint("paused", i)
+		add(id, once, func(a *attempt) { a.status, a.whole, a.body = 503, false, nil })
+		sendTo(t, shedding, oncePrefix, standin.Request{ID: id, Account: "large", Patience: 100 * time.Millisecond}, "")
+		time.Sleep(pauseSlack + 10*time.Millisecond)
+	}
+	add("junk", once, func(a *attempt) { a.status, a.body = 502, []byte(standin.Junk) })
+
 	found := check(w, c, ch)
 	for _, want := range []string{
 		"mixed: mixed got the signature", "mixed: short got 5 bytes", "order: joined got", "twice: twice ran 2", "refused: refused was answered 503",
 		`unasked: account of large ran for "small"`, "received X-Key in request keyed", "key: key ran", "lost: lost",
 		"denied: missing got 404", "config: late got 404", "quota: small used", "budget: ", "of both vm-2 and vm-1",
 		"got number 4 of vm-1 after 5", "in turn within", "was ordered to hold", "version: old began on a1@1", "drain: drained reached",
+		"leaving: after1 reached", "pause: 3 requests reached", "junk: junk got",
 		"accused: accused at", "crash: a request that had crashed 3",
 	} {
 		require.True(t, strings.Contains(strings.Join(found, "\n"), want), "%q is not found in:\n%s", want, strings.Join(found, "\n"))
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -31,6 +31,7 @@
 	attempts := c.all()
 	for _, a := range attempts {
 		f.checkAnswer(a)
+		f.checkJunk(a)
 		f.checkRuns(a, ch)
 		f.checkEnd(a)
 		f.checkConfig(a, ch)
@@ -38,6 +39,8 @@
 	f.checkOrders()
 	f.checkDraining()
 	f.checkRepeats(attempts)
+	f.checkLeaving(attempts)
+	f.checkPauses(attempts)
 	f.checkCrashes(attempts)
 	f.checkQuota(attempts)
 	return f.list
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -75,9 +75,11 @@
 	w       *world
 	callers *callers
 	changes *changes
-	random  *rand.Rand
-	wait    sync.WaitGroup
-	ctx     context.Context
+	// troubles are those to choose from.
+	troubles []trouble
+	random   *rand.Rand
+	wait     sync.WaitGroup
+	ctx      context.Context
 }
 
 // troubles are all things that can happen. Each returns when it is over.
@@ -118,11 +120,21 @@
 	{"new_version", (*chaos).newVersion},
 }
 
+// furtherTroubles are those of endpoints that leave, ask for a pause, or send without end. They are apart so that the seeds
+// of the others go on meaning what they did.
+var furtherTroubles = []trouble{
+	{"endpoint_leaves_quietly", (*chaos).leaveQuietly},
+	{"endpoint_pauses", func(x *chaos, d time.Duration) {
+		x.sick("endpoint_pauses", standin.Trouble{Sheds: 0.6, Pause: time.Second + d/2}, d)
+	}},
+	{"endpoint_endless", func(x *chaos, d time.Duration) { x.sick("endpoint_endless", standin.Trouble{Endless: 0.4}, d) }},
+}
+
 // run strikes from time to time until ctx ends. Troubles may overlap.
 func (x *chaos) run(ctx context.Context, pause time.Duration) {
 	x.ctx = ctx
 	for ctx.Err() == nil {
-		t := troubles[x.random.IntN(len(troubles))]
+		t := x.troubles[x.random.IntN(len(x.troubles))]
 		d := 300*time.Millisecond + time.Duration(x.random.Int64N(int64(3*time.Second)))
 		x.wait.Go(func() { t.do(x, d) })
 		sleep(ctx, pause/2+time.Duration(x.random.Int64N(int64(pause))))
@@ -278,6 +290,19 @@
 	x.w.end(e, true)
 }
 
+// leaveQuietly makes an endpoint leave that says so in its answers only.
+func (x *chaos) leaveQuietly(time.Duration) {
+	e := x.endpoint()
+	if e == nil || len(x.w.alive(e.Group())) < 2 {
+		return
+	}
+	defer x.w.faults.begin("endpoint_leaves_quietly", e.ID(), true)()
+	x.w.addEndpoint(e.Group())
+	e.LeaveQuietly()
+	x.hold(2*drainTime + time.Second)
+	x.w.end(e, true)
+}
+
 func (x *chaos) sick(what string, t standin.Trouble, d time.Duration) {
 	e := x.endpoint()
 	if e == nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -55,6 +56,8 @@
 	// fatal is a request that crashes the endpoints that run it, nil for none. It is sent from the end of the calm on,
 	// beside other faults.
 	fatal *fatality
+	// further adds the further troubles.
+	further bool
 }
 
 // play runs a deployment by a plan and returns the promises that were broken.
@@ -80,7 +83,11 @@
 		fatal.Go(func() { c.sendFatal(ctx, *p.fatal) })
 	}
 	if p.struck > 0 {
-		x := &chaos{w: w, callers: c, changes: ch, random: rand.New(rand.NewPCG(p.seed, 3))}
+		x := &chaos{w: w, callers: c, changes: ch, troubles: troubles, random: rand.New(rand.NewPCG(p.seed, 3))}
+		if p.further {
+			// Each of the further ones comes about as often as all others together.
+			x.troubles = slices.Concat(troubles, slices.Repeat(furtherTroubles, len(troubles)/len(furtherTroubles)))
+		}
 		striking, end := context.WithTimeout(ctx, p.struck)
 		x.run(striking, p.pause)
 		end()
@@ -210,3 +217,16 @@
 		})
 	}
 }
+
+// Endpoints that say in their answers that they leave, that ask for a pause, or that send bytes without end that are no
+// answer break no promise either, beside all other faults.
+func TestFaultsOfEndpoints(t *testing.T) {
+	for _, seed := range chosenSeeds(900) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			broken, w, c := play(t, plan{
+				seed: seed, vms: *vmsFlag, callers: 16, calm: 2 * time.Second, struck: *forFlag, pause: 800 * time.Millisecond, further: true,
+			})
+			report(t, broken, w, c)
+		})
+	}
+}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -45,6 +45,7 @@
 	retryShare    = 0.2
 	retryReserve  = 54
 	retryWindow   = 10 * time.Second
+	vmMemory      = 184 << 20
 )
 
 // Groups, and the route prefixes of each kind of request.
@@ -340,7 +341,7 @@
 port_range=%d,%d
 bootstrap=%t
 limits.cpu_share=0.4
-limits.memory_mb=284
+limits.memory_mb=%d
 limits.max_fds=4100
 bounds.grace_s=%g
 bounds.revoke_ms=%d
@@ -352,7 +353,7 @@
 bounds.quota_overage=%g
 bounds.quota_slack=%d
 platform.address=%s
-`, v.name, v.domain, v.callers, v.readiness, base+2, base+3, first, grace.Seconds(), keyWithdrawal.Milliseconds(),
+`, v.name, v.domain, v.callers, v.readiness, base+2, base+3, first, vmMemory>>20, grace.Seconds(), keyWithdrawal.Milliseconds(),
 		orderTurns.Milliseconds(), retryShare, retryWindow.Seconds(), retryReserve, quotaWindow.Seconds(), quotaOverage,
 		quotaSlack, v.store.address())
 	require.NoError(w.t, os.WriteFile(v.settings, []byte(text), 0o600))
