--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -143,6 +143,7 @@
 	seen    chan *http.Request
 	lines   *test.Hook
 	memory  *memory.Budget
+	table   *suspect.Table
 }
 
 // handler plays an endpoint.
@@ -152,7 +153,7 @@
 	b := &bench{
 		t: t, places: &fixedPlaces{}, quota: &tokens{left: 1000}, valid: true,
 		retries: retry.NewWindow(10*time.Second, 0, func() float64 { return 3 }), seen: make(chan *http.Request, 100),
-		memory: memory.NewBudget(1 << 20),
+		memory: memory.NewBudget(1 << 20), table: suspect.NewTable(suspect.DirectLimits()),
 	}
 	for i, h := range endpoints {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -592,7 +593,7 @@
 func (b *bench) suspects() *suspect.Watch {
 	log, _ := test.NewNullLogger()
 	return suspect.NewWatch(b.t.Context(), suspect.WatchConfig{
-		Table: suspect.NewTable(suspect.DirectLimits()), Prober: unanswering{}, Listed: func(roster.Endpoint) suspect.Listing { return suspect.Current },
+		Table: b.table, Prober: unanswering{}, Listed: func(roster.Endpoint) suspect.Listing { return suspect.Current },
 		Told: func() {}, Metrics: metrics.NewRegistry(), Log: log,
 	})
 }
@@ -633,3 +634,16 @@
 		b.places.endpoints[0].Started++
 	}
 }
+
+// A suspect that finds other suspects at every endpoint does not wait for long.
+func TestASuspectDoesNotWaitForOthers(t *testing.T) {
+	b := newBench(t, say("whole"))
+	other, own := uint64(1), suspect.Fingerprint("acme", suspect.Hash(http.MethodPost, "/safe/x", []byte("body")))
+	b.table.Accuse(time.Now(), "acme", other, "e9/1")
+	b.table.Accuse(time.Now(), "acme", own, "e9/1")
+	require.True(t, b.table.Started(time.Now(), other, "e0"))
+	require.Equal(t, "whole", b.do("/safe/x", nil, "body").body)
+	require.Len(t, b.table.Notices(time.Now()), 2, "one crash of the other, and that this one was answered whole")
+	decision, _ := b.table.Admit(time.Now(), own)
+	require.Equal(t, suspect.Allow, decision)
+}
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -37,9 +37,9 @@
 const (
 	// suspectStep is the time between two looks at whether a suspect may be sent.
 	suspectStep = 20 * time.Millisecond
-	// isolationShare is the part of a suspect's time for which it waits for an endpoint at which no other suspect
-	// runs.
-	isolationShare = 0.25
+	// isolationWait bounds how long a suspect waits for an endpoint at which no other suspect runs. It is most likely
+	// innocent, and not to be kept waiting for what others do.
+	isolationWait = 200 * time.Millisecond
 )
 
 // isolate waits until a request that is suspect may be sent, and returns the endpoints that it should not go to. The
@@ -73,8 +73,8 @@
 	}
 }
 
-// askPlace asks the dispatcher for an endpoint. A suspect goes to one at which no other suspect runs, if there is one in
-// time: it must not be taken for what the other one does.
+// askPlace asks the dispatcher for an endpoint. A suspect goes to one at which no other suspect runs, if there soon is one:
+// it must not be taken for what the other one does.
 func (c *call) askPlace(ctx context.Context) (Place, error) {
 	begun := time.Now()
 	for {
@@ -83,11 +83,10 @@
 			return Place{}, e
 		}
 		w := c.work()
-		if time.Since(begun) < time.Duration(isolationShare*float64(c.limit)) {
-			w.Exclude = append(avoid, w.Exclude...)
-		} else {
+		if time.Since(begun) >= isolationWait {
 			avoid = nil
 		}
+		w.Exclude = append(avoid, w.Exclude...)
 		place, err := c.g.cfg.Dispatcher.Place(ctx, w)
 		if err != nil && len(avoid) > 0 && c.over() == nil {
 			clock.Sleep(ctx, suspectStep)
--- a/pkg/gatewayd/state.go
+++ b/pkg/gatewayd/state.go
@@ -9,6 +9,7 @@
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/relay"
+	"github.com/mallowlink/mallowlink/pkg/suspect"
 )
 
 // State is the dump of a process's state. It holds no caller's key. Ages are those of what the process
@@ -30,6 +31,8 @@
 	EndpointsAge  string                   `json:"endpoints_age"`
 	Engines       []orders.EngineState     `json:"engines"`
 	Accounts      []allowance.AccountState `json:"accounts"`
+	// Suspects are the requests under which endpoints have ended.
+	Suspects []suspect.Suspect `json:"suspects"`
 }
 
 // ConfigState is the configuration in force.
@@ -73,6 +76,7 @@
 		Requests: p.parts.Gateway.Running(), News: p.parts.Relay.State(), Steward: f.stewards.active(),
 		Leases: f.stewards.held(), EndpointsAge: text(b.endpointsAge()),
 		Engines: p.parts.Orders.State(), Accounts: p.parts.Allowances.holder.State(),
+		Suspects: p.parts.Suspects.watch.Suspects(),
 	}
 	if rules := b.rules.Load(); rules != nil {
 		s.Config = ConfigState{
--- a/pkg/suspect/watch.go
+++ b/pkg/suspect/watch.go
@@ -1,8 +1,11 @@
 package suspect
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -356,6 +359,38 @@
 // maxDecided bounds the ends that are remembered as decided.
 const maxDecided = 1024
 
+// Suspect is what a dump tells of a request with crashes.
+type Suspect struct {
+	Fingerprint string   `json:"fingerprint"`
+	Account     string   `json:"account"`
+	Crashes     []string `json:"crashes"`
+	Age         string   `json:"age"`
+}
+
+// Suspects returns the requests with crashes, those with the most crashes first.
+func (w *Watch) Suspects() []Suspect {
+	byRequest := map[uint64]*Suspect{}
+	for _, n := range w.cfg.Table.Notices(time.Now()) {
+		if n.Cleared {
+			continue
+		}
+		s := byRequest[n.Fingerprint]
+		if s == nil {
+			s = &Suspect{Fingerprint: Text(n.Fingerprint), Account: n.Account, Age: n.Age.Round(time.Millisecond).String()}
+			byRequest[n.Fingerprint] = s
+		}
+		s.Crashes = append(s.Crashes, n.Crash)
+	}
+	list := make([]Suspect, 0, len(byRequest))
+	for _, s := range byRequest {
+		list = append(list, *s)
+	}
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), strings.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return list
+}
+
 // Sweep forgets what is no longer held against requests.
 func (w *Watch) Sweep(now time.Time) {
 	w.cfg.Table.Sweep(now)
--- a/pkg/suspect/watch_test.go
+++ b/pkg/suspect/watch_test.go
@@ -98,6 +98,7 @@
 			decision, _ := w.Admit(fp)
 			require.Equal(t, want, decision, "known at this VM at once")
 			time.Sleep(2 * firstProbe)
+			require.Len(t, w.Suspects()[0].Crashes, i+1)
 			requireCrashes(t, w, i+1, i+1)
 		}
 		decision, after := w.Admit(fp)
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -154,6 +154,7 @@
 // The same holds beside faults of VMs, the store and endpoints, and after them: what is known of the request outlives
 // restarts, freezes, cuts and a store that is away.
 func TestRequestThatCrashesEndpointsIsStoppedUnderFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range chosenSeeds(500) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := fatality{kind: kinds[seed%uint64(len(kinds))], atOnce: seed%3 == 0, lasts: *forFlag + 8*time.Second}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -221,6 +221,7 @@
 // Endpoints that say in their answers that they leave, that ask for a pause, or that send bytes without end that are no
 // answer break no promise either, beside all other faults.
 func TestFaultsOfEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, seed := range chosenSeeds(900) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			broken, w, c := play(t, plan{
