Clear requests that meet endpoints which had ended before, that are served elsewhere, or that were refused by chance

Cause: an end that a VM had not seen itself was held against the first request that it sent there; equal requests of many callers share what is held against them.

Change: a request is held to blame only if it was sent before the end was first seen. VMs tell the end to two of them, which answer with the earliest. A refused request is tried after 5 and 30 minutes by its first home, and free everywhere if it is answered. What only this VM holds can be taken back; what others have seen too cannot.

--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -13,7 +13,7 @@
 
 // Suspects keeps requests that crash the endpoints that run them from endpoints. *suspect.Watch implements it.
 type Suspects interface {
-	// Quiet reports whether no request is suspect: none needs to be identified.
+	// Quiet reports whether no request is suspect: none needs to be identified before it is sent.
 	Quiet() bool
 	// Admit decides whether a request may be sent. After Refuse the duration says when to come back.
 	Admit(fingerprint uint64) (suspect.Decision, time.Duration)
@@ -29,9 +29,9 @@
 	Served(fingerprint uint64)
 	// Answered says that an endpoint has answered a request that was sent to it at that time.
 	Answered(id roster.Incarnation, sent time.Time)
-	// Broke says that the endpoint's side of a request's connection has ended before the answer. running is for how
-	// long the endpoint had been answering.
-	Broke(e roster.Endpoint, account string, fingerprint uint64, running time.Duration)
+	// Broke says that the endpoint's side of the connection of a request, sent at that time, has ended before the answer.
+	// running is for how long the endpoint had been answering.
+	Broke(e roster.Endpoint, account string, fingerprint uint64, sent time.Time, running time.Duration)
 }
 
 const (
@@ -118,12 +118,16 @@
 		running = time.Since(c.headAt)
 	}
 	c.struck = &c.place.Endpoint.Incarnation
-	c.g.cfg.Suspects.Broke(c.place.Endpoint, c.account, c.fingerprint(), running)
+	c.g.cfg.Suspects.Broke(c.place.Endpoint, c.account, c.fingerprint(), c.sentAt, running)
 }
 
+// rememberedBody bounds the bodies of requests that are remembered as served while no request is suspect, in bytes: larger
+// ones hardly ever come again alike, and take long to identify.
+const rememberedBody = 256 << 10
+
 // noteServed notes that an endpoint has answered the request whole.
 func (c *call) noteServed() {
-	if !c.g.cfg.Suspects.Quiet() {
+	if len(c.body) <= rememberedBody || !c.g.cfg.Suspects.Quiet() {
 		c.g.cfg.Suspects.Served(c.fingerprint())
 	}
 }
--- a/pkg/suspect/inquiry.go
+++ b/pkg/suspect/inquiry.go
@@ -35,12 +35,16 @@
 type inquiry struct {
 	endpoint roster.Endpoint
 	// done is closed when the question is decided.
-	done  chan struct{}
+	done chan struct{}
+	// first is when the first connection ended.
 	first time.Time
-	// struck maps the requests that were under way to when their connections ended.
-	struck map[uint64]time.Time
+	// struck are the requests that were under way.
+	struck map[uint64]struck
 }
 
+// struck is when a request was sent, and when its connection ended.
+type struck struct{ sent, broke time.Time }
+
 // inquire finds out whether an endpoint has ended.
 func (w *Watch) inquire(q *inquiry) {
 	clock.Sleep(w.ctx, firstProbe)
@@ -84,9 +88,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	oldest := time.Now()
-	for _, at := range q.struck {
-		if at.Before(oldest) {
-			oldest = at
+	for _, s := range q.struck {
+		if s.broke.Before(oldest) {
+			oldest = s.broke
 		}
 	}
 	return oldest
@@ -105,11 +109,20 @@
 	return true
 }
 
-// decide ends an inquiry: the endpoint has ended.
+// decide ends an inquiry: the endpoint has ended. It had ended before for requests that were sent after another VM has seen
+// that, which had only met an address that still takes connections.
 func (w *Watch) decide(q *inquiry, why string) {
+	crash := crashOf(q.endpoint)
+	ended := w.firstSeen(crash, q.first)
 	w.mu.Lock()
 	w.end(q)
-	w.decided[crashOf(q.endpoint)] = true
+	w.decided[crash] = ended
+	for fingerprint, s := range q.struck {
+		if s.sent.After(ended) {
+			delete(q.struck, fingerprint)
+			w.cfg.Table.Retract(fingerprint, crash)
+		}
+	}
 	fields := w.fields(q, "endpoint_ended", why)
 	w.mu.Unlock()
 	w.meters.ended.Inc(1)
@@ -149,7 +162,8 @@
 func (w *Watch) held(id roster.Incarnation) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.decided[crashOf(roster.Endpoint{Incarnation: id})]
+	_, ended := w.decided[crashOf(roster.Endpoint{Incarnation: id})]
+	return ended
 }
 
 // fields are those of the line on an inquiry's outcome. w.mu is held.
--- a/pkg/suspect/share.go
+++ b/pkg/suspect/share.go
@@ -24,6 +24,8 @@
 	// shareTimeout bounds a call, shareRetry is the time after which one that has failed is made again.
 	shareTimeout = 500 * time.Millisecond
 	shareRetry   = 300 * time.Millisecond
+	// endTimeout bounds a call that tells of an end.
+	endTimeout = 200 * time.Millisecond
 	// sharePause bounds the rate of rounds in a storm of crashes.
 	sharePause = 20 * time.Millisecond
 	// sharePoll is the time between two looks for VMs that have come, or have come back.
@@ -52,6 +54,8 @@
 	// failed holds when a call to a VM failed last, busy the VMs to which one is under way; guarded by mu.
 	failed map[listener]time.Time
 	busy   map[listener]bool
+	// ends maps the ends of endpoints' runs of which this VM is a home to when they were seen first, guarded by mu.
+	ends map[string]time.Time
 	// slots bounds the calls under way.
 	slots chan struct{}
 }
@@ -69,13 +73,20 @@
 func NewShare(self string, table *Table, caller peer.Caller, members func() []membership.Member, log logrus.FieldLogger) *Share {
 	return &Share{
 		self: self, table: table, caller: caller, members: members, log: log, wake: make(chan struct{}, 1),
-		told: map[listener]map[uint64]state{}, failed: map[listener]time.Time{}, busy: map[listener]bool{},
+		told: map[listener]map[uint64]state{}, failed: map[listener]time.Time{}, busy: map[listener]bool{}, ends: map[string]time.Time{},
 		slots: make(chan struct{}, announceParallel),
 	}
 }
 
-// Follow makes s pass on what w has found. It is called before Run.
-func (s *Share) Follow(w *Watch) { s.watch = w }
+// Follow makes s pass on what w has found, and the first home of a request decide on its trials. It is called before Run.
+func (s *Share) Follow(w *Watch) {
+	s.watch = w
+	w.tries = func(fingerprint uint64) bool {
+		homes := homesOf(s.members(), fingerprint)
+		return len(homes) > 0 && homes[0] == s.self
+	}
+	w.firstSeen = s.firstSeen
+}
 
 // Wake says that there may be something to tell.
 func (s *Share) Wake() {
@@ -163,8 +174,10 @@
 // known returns what may be told, by request.
 func (s *Share) known() map[uint64][]Notice {
 	byRequest := map[uint64][]Notice{}
+	// What is in question is looked up first: what is taken back once that is decided must not be told.
+	open := s.watch.inQuestion()
 	for _, n := range s.table.Notices(time.Now()) {
-		if n.Cleared || s.watch.shareable(n.Crash) {
+		if n.Cleared || !open[n.Crash] {
 			byRequest[n.Fingerprint] = append(byRequest[n.Fingerprint], n)
 		}
 	}
@@ -247,9 +260,12 @@
 	for _, n := range notices {
 		at := now.Add(-max(0, n.Age))
 		before := s.stateOf(now, n.Fingerprint)
-		if n.Cleared {
+		switch {
+		case n.Cleared:
 			s.table.Acquit(at, n.Fingerprint)
-		} else {
+		case s.watch.served.lately(n.Fingerprint, now):
+			s.table.Exonerate(now, n.Account, n.Fingerprint)
+		default:
 			s.table.Accuse(at, n.Account, n.Fingerprint, n.Crash)
 		}
 		after := s.stateOf(now, n.Fingerprint)
--- a/pkg/suspect/share_test.go
+++ b/pkg/suspect/share_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,8 +19,8 @@
 )
 
 // homeCalls is the calls that one crash of a request costs while nobody else has seen another: its homes are told, and tell
-// each other.
-const homeCalls = homeCount * homeCount
+// each other, and so are those of the end itself.
+const homeCalls = homeCount*homeCount + homeCount
 
 // contact is the time within which every VM in touch must know what one has learned.
 const contact = 3 * time.Second
@@ -97,7 +98,7 @@
 }
 
 // Call implements peer.Caller.
-func (vm *siteVM) Call(ctx context.Context, address, _ string, args, reply any) error {
+func (vm *siteVM) Call(ctx context.Context, address, method string, args, reply any) error {
 	s := vm.site
 	s.mu.Lock()
 	s.calls++
@@ -113,6 +114,9 @@
 		<-ctx.Done()
 		return peer.ErrUnreachable
 	}
+	if method == ServiceName+".End" {
+		return target.share.Service().End(args.(*EndArgs), reply.(*EndReply))
+	}
 	return target.share.Service().Tell(args.(*NoticeArgs), reply.(*ListReply))
 }
 
@@ -156,7 +160,7 @@
 // end makes an endpoint end under a request of the VM.
 func (s *site) end(vm int, id string, fingerprint uint64) {
 	s.endpoints.set(id, Ended)
-	s.vms[vm].watch.Broke(run(id), account, fingerprint, 0)
+	s.vms[vm].watch.Broke(run(id), account, fingerprint, time.Now(), 0)
 }
 
 func (s *site) set(change func()) {
@@ -346,3 +350,73 @@
 		})
 	})
 }
+
+// VMs that have served a request lately object to what others hold against it, also to its refusal.
+func TestVMsThatServeARequestObject(t *testing.T) {
+	for _, ends := range []int{1, 2, 3} {
+		playSite(t, 6, func(s *site) {
+			homes := homesOf(s.members(), fp)
+			server := 0
+			for fmt.Sprint("vm", server) == homes[0] || fmt.Sprint("vm", server) == homes[1] {
+				server++
+			}
+			s.vms[server].watch.Served(fp)
+			for i := range ends {
+				s.end((server+1)%6, fmt.Sprint("e", i), fp)
+			}
+			time.Sleep(contact)
+			if ends >= spreadFrom {
+				s.requireAll(Allow, fp)
+			}
+			decision, _ := s.vms[server].watch.Admit(fp)
+			require.Equal(t, Allow, decision)
+		})
+	}
+}
+
+// A refused request is tried now and then, by one VM, and free everywhere once it is answered whole.
+func TestRefusedRequestsAreTried(t *testing.T) {
+	playSite(t, 3, func(s *site) {
+		for i := range 3 {
+			s.end(i, fmt.Sprint("e", i), fp)
+		}
+		time.Sleep(contact)
+		home := slices.IndexFunc(s.vms, func(vm *siteVM) bool { return vm.id == homesOf(s.members(), fp)[0] })
+		tried := 0
+		for range 58 {
+			time.Sleep(time.Minute)
+			for range 5 {
+				for i, vm := range s.vms {
+					if decision, _ := vm.watch.Admit(fp); decision != Refuse {
+						require.Equal(t, home, i)
+						tried++
+					}
+				}
+			}
+		}
+		require.Equal(t, len(trialAfter), tried, "none of them is answered")
+		s.vms[home].watch.Served(fp)
+		time.Sleep(contact)
+		s.requireAll(Allow, fp)
+	})
+}
+
+// Requests that other VMs send to an address that still takes connections after the endpoint behind it has ended have not
+// ended it, also if they are the first that those VMs send there.
+func TestRequestsSentAfterAnEndAreNotHeldToBlame(t *testing.T) {
+	playSite(t, 4, func(s *site) {
+		for i := range 3 {
+			id := fmt.Sprint("e", i)
+			sent := time.Now()
+			time.Sleep(5 * time.Millisecond)
+			s.vms[0].watch.Broke(run(id), account, fp, sent, 0)
+			time.Sleep(100 * time.Millisecond)
+			for n := range 20 {
+				s.vms[n%4].watch.Broke(run(id), account, fp+1, time.Now(), 0)
+			}
+			time.Sleep(presumeAfter + probePause + contact)
+		}
+		s.requireAll(Refuse, fp)
+		s.requireAll(Allow, fp+1)
+	})
+}
--- a/pkg/suspect/table.go
+++ b/pkg/suspect/table.go
@@ -87,6 +87,11 @@
 	cleared time.Time
 	// witnessed says that this VM itself has seen a crash, or the whole answer.
 	witnessed bool
+	// own are the crashes that only this VM has seen, as far as it knows.
+	own []string
+	// trials counts the times that the request was let run after it had been refused, the last time at trialAt.
+	trials  int
+	trialAt time.Time
 	// running counts the copies on each endpoint.
 	running map[string]int
 }
@@ -185,11 +190,29 @@
 	return t.Accuse(now, "", fingerprint, crash)
 }
 
-// Accuse is CrashSeen for a request of a client account. An account with many crashing requests makes room
-// with its own.
+// Accuse is CrashSeen for a request of a client account, for a crash that another VM has seen. An account with many
+// crashing requests makes room with its own.
 func (t *Table) Accuse(now time.Time, account string, fingerprint uint64, crash string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e, _ := t.accuse(now, account, fingerprint, crash)
+	e.own = slices.DeleteFunc(e.own, func(c string) bool { return c == crash })
+	return len(e.crashes)
+}
+
+// Witness is Accuse for a crash that this VM itself has seen.
+func (t *Table) Witness(now time.Time, account string, fingerprint uint64, crash string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, added := t.accuse(now, account, fingerprint, crash)
+	if added {
+		e.own = append(e.own, crash)
+	}
+	e.witnessed = true
+}
+
+// accuse holds a crash against a request. It reports whether it was not held before. The caller holds mu.
+func (t *Table) accuse(now time.Time, account string, fingerprint uint64, crash string) (*entry, bool) {
 	e := t.lookup(now, fingerprint)
 	if e == nil {
 		e = &entry{running: map[string]int{}}
@@ -197,7 +220,7 @@
 	}
 	if slices.Contains(e.crashes, crash) || !now.After(e.cleared) {
 		t.drop(fingerprint, e)
-		return len(e.crashes)
+		return e, false
 	}
 	if len(e.crashes) == 0 {
 		t.makeRoom(account)
@@ -205,15 +228,16 @@
 		t.crashed++
 		t.perAccount[account]++
 	}
-	if len(e.crashes) < t.limits.Crashes {
-		e.crashes = append(e.crashes, crash)
-	}
 	e.last = now
-	return len(e.crashes)
+	if len(e.crashes) == t.limits.Crashes {
+		return e, false
+	}
+	e.crashes = append(e.crashes, crash)
+	return e, true
 }
 
-// Witness says that this VM itself has seen what was last held against a request, or that it was answered whole.
-func (t *Table) Witness(fingerprint uint64) {
+// Vouch says that this VM itself has seen that a request was answered whole.
+func (t *Table) Vouch(fingerprint uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[fingerprint]; e != nil {
@@ -221,14 +245,15 @@
 	}
 }
 
-// Retract takes back a crash that has turned out to be none.
+// Retract takes back a crash that only this VM has seen, and that has turned out to be none.
 func (t *Table) Retract(fingerprint uint64, crash string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[fingerprint]
-	if e == nil || !slices.Contains(e.crashes, crash) {
+	if e == nil || !slices.Contains(e.own, crash) {
 		return
 	}
+	e.own = slices.DeleteFunc(e.own, func(c string) bool { return c == crash })
 	left := slices.DeleteFunc(slices.Clone(e.crashes), func(c string) bool { return c == crash })
 	if len(left) == 0 {
 		t.clear(e)
@@ -302,7 +327,7 @@
 
 // notices returns what is known of a request. The caller holds mu.
 func (t *Table) notices(now time.Time, fingerprint uint64, e *entry) []Notice {
-	if now.Sub(e.last) >= t.limits.Memory {
+	if len(e.crashes) > 0 && now.Sub(e.last) >= t.limits.Memory {
 		return nil
 	}
 	var list []Notice
@@ -315,6 +340,43 @@
 	return list
 }
 
+// trialAfter is how long a request has to have been refused for each of its trials. One that was taken for another by
+// chance must not be refused for long; one that does crash endpoints ends another one each time.
+var trialAfter = [...]time.Duration{5 * time.Minute, 30 * time.Minute}
+
+// Trial reports whether a request that is refused may run once more, and counts that.
+func (t *Table) Trial(now time.Time, fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.lookup(now, fingerprint)
+	if e == nil || len(e.crashes) < t.limits.Crashes || e.trials >= len(trialAfter) {
+		return false
+	}
+	since := e.last
+	if e.trialAt.After(since) {
+		since = e.trialAt
+	}
+	if now.Sub(since) < trialAfter[e.trials] {
+		return false
+	}
+	e.trials++
+	e.trialAt = now
+	return true
+}
+
+// Exonerate notes that a request was answered whole lately, as this VM knows, so that other VMs hear of it.
+func (t *Table) Exonerate(now time.Time, account string, fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.lookup(now, fingerprint)
+	if e == nil {
+		e = &entry{account: account, running: map[string]int{}}
+		t.entries[fingerprint] = e
+	}
+	t.clear(e)
+	e.cleared, e.witnessed = now, true
+}
+
 // SuspectEndpoints returns the endpoints on which copies of other requests with crashes run.
 func (t *Table) SuspectEndpoints(fingerprint uint64) []string {
 	t.mu.Lock()
@@ -370,7 +432,7 @@
 			delete(t.perAccount, e.account)
 		}
 	}
-	e.crashes = nil
+	e.crashes, e.own = nil, nil
 }
 
 // drop deletes e if nothing is known of it. The caller holds mu.
--- a/pkg/suspect/watch.go
+++ b/pkg/suspect/watch.go
@@ -72,10 +72,19 @@
 	// asking is the number of open inquiries, so that the way of a request without any costs nothing.
 	asking atomic.Int64
 
+	// served are the requests that this VM has answered whole lately. Such a request does not crash every endpoint: it was
+	// there by chance when one ended.
+	served *served
+	// tries reports whether this VM decides on trials of a request. It is set before the Watch is used.
+	tries func(fingerprint uint64) bool
+	// firstSeen tells other VMs of an end, and returns when the first of them has seen it. It is set before the Watch is
+	// used.
+	firstSeen func(crash string, seen time.Time) time.Time
+
 	mu   sync.Mutex
 	open map[roster.Incarnation]*inquiry // guarded by mu
-	// decided are the crashes that other VMs may hear of, guarded by mu.
-	decided map[string]bool
+	// decided maps the ends that other VMs may hear of to when they were seen first, guarded by mu.
+	decided map[string]time.Time
 }
 
 // watchMeters count what a Watch decides.
@@ -95,23 +104,30 @@
 func NewWatch(ctx context.Context, cfg WatchConfig) *Watch {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
 	return &Watch{
-		cfg: cfg, ctx: ctx, open: map[roster.Incarnation]*inquiry{}, decided: map[string]bool{},
+		cfg: cfg, ctx: ctx, served: newServed(), tries: func(uint64) bool { return true },
+		firstSeen: func(_ string, seen time.Time) time.Time { return seen }, open: map[roster.Incarnation]*inquiry{}, decided: map[string]time.Time{},
 		meters: watchMeters{
 			ended: counter(metricEnded), alive: counter(metricAlive), refused: counter(metricRefused), cleared: counter(metricCleared),
 		},
 	}
 }
 
-// Quiet reports whether no request is suspect: none needs to be identified.
+// Quiet reports whether no request is suspect: none needs to be identified before it is sent.
 func (w *Watch) Quiet() bool { return w.cfg.Table.Empty() }
 
 // Admit decides whether a request may be sent to an endpoint. After Refuse the duration says when to come back.
 func (w *Watch) Admit(fingerprint uint64) (Decision, time.Duration) {
-	decision, after := w.cfg.Table.Admit(time.Now(), fingerprint)
-	if decision == Refuse {
-		w.meters.refused.Inc(1)
+	now := time.Now()
+	decision, after := w.cfg.Table.Admit(now, fingerprint)
+	if decision != Refuse {
+		return decision, after
+	}
+	if w.tries(fingerprint) && w.cfg.Table.Trial(now, fingerprint) {
+		w.cfg.Log.WithFields(logrus.Fields{"event": "suspect_tried", "fingerprint": Text(fingerprint)}).Info()
+		return Allow, 0
 	}
-	return decision, after
+	w.meters.refused.Inc(1)
+	return Refuse, after
 }
 
 // Avoid returns the endpoints at which this VM runs other suspects.
@@ -129,10 +145,12 @@
 
 // Served says that a request was answered whole: it does not crash every endpoint that runs it.
 func (w *Watch) Served(fingerprint uint64) {
-	if !w.cfg.Table.Acquit(time.Now(), fingerprint) {
+	now := time.Now()
+	w.served.note(fingerprint, now)
+	if !w.cfg.Table.Acquit(now, fingerprint) {
 		return
 	}
-	w.cfg.Table.Witness(fingerprint)
+	w.cfg.Table.Vouch(fingerprint)
 	w.meters.cleared.Inc(1)
 	w.cfg.Log.WithFields(logrus.Fields{"event": "suspect_cleared", "fingerprint": Text(fingerprint)}).Info()
 	w.cfg.Told()
@@ -156,8 +174,8 @@
 // lived takes back what is held against requests whose connections ended before sent, at which time the endpoint
 // lived. w.mu is held.
 func (w *Watch) lived(q *inquiry, sent time.Time) {
-	for fingerprint, at := range q.struck {
-		if sent.After(at) && sent.Sub(at) < restartTime {
+	for fingerprint, s := range q.struck {
+		if sent.After(s.broke) && sent.Sub(s.broke) < restartTime {
 			delete(q.struck, fingerprint)
 			w.cfg.Table.Retract(fingerprint, crashOf(q.endpoint))
 		}
@@ -167,47 +185,49 @@
 // crashOf names the end of an endpoint's run, alike on all VMs.
 func crashOf(e roster.Endpoint) string { return e.ID + "/" + strconv.FormatInt(e.Started, 10) }
 
-// Broke says that the endpoint's side of a request's connection has ended before the answer. running is for how long
-// the endpoint had been answering the request.
-func (w *Watch) Broke(e roster.Endpoint, account string, fingerprint uint64, running time.Duration) {
+// Broke says that the endpoint's side of the connection of a request, sent at that time, has ended before the answer.
+// running is for how long the endpoint had been answering the request.
+func (w *Watch) Broke(e roster.Endpoint, account string, fingerprint uint64, sent time.Time, running time.Duration) {
 	if running >= settledAfter || w.cfg.Listed(e) == Leaving {
 		return
 	}
 	now := time.Now()
-	w.cfg.Table.Accuse(now, account, fingerprint, crashOf(e))
-	w.cfg.Table.Witness(fingerprint)
+	if w.served.lately(fingerprint, now) {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.decided[crashOf(e)] {
+	q := w.open[e.Incarnation]
+	ended, decided := w.decided[crashOf(e)]
+	if decided && sent.After(ended) || q != nil && sent.After(q.first) {
+		// The endpoint had ended before.
+		return
+	}
+	w.cfg.Table.Witness(now, account, fingerprint, crashOf(e))
+	if decided {
 		w.cfg.Told()
 		return
 	}
-	q := w.open[e.Incarnation]
 	if q == nil {
-		q = &inquiry{endpoint: e, done: make(chan struct{}), first: now, struck: map[uint64]time.Time{}}
+		q = &inquiry{endpoint: e, done: make(chan struct{}), first: now, struck: map[uint64]struck{}}
 		w.open[e.Incarnation] = q
 		w.asking.Add(1)
 		go w.inquire(q)
 	}
-	q.struck[fingerprint] = now
+	q.struck[fingerprint] = struck{sent, now}
 }
 
-// shareable reports whether other VMs may hear of a crash that this VM knows: those of endpoints that are still in
-// question here are kept back.
-func (w *Watch) shareable(crash string) bool {
+// inQuestion returns the ends of endpoints that this VM has not decided on. Other VMs do not hear of them.
+func (w *Watch) inQuestion() map[string]bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	open := make(map[string]bool, len(w.open))
 	for _, q := range w.open {
-		if crashOf(q.endpoint) == crash {
-			return false
-		}
+		open[crashOf(q.endpoint)] = true
 	}
-	return true
+	return open
 }
 
-// maxDecided bounds the ends that are remembered as decided.
-const maxDecided = 1024
-
 // Suspect is what a dump tells of a request with crashes.
 type Suspect struct {
 	Fingerprint string   `json:"fingerprint"`
@@ -240,6 +260,9 @@
 	return list
 }
 
+// maxDecided bounds the ends that are remembered as decided.
+const maxDecided = 1024
+
 // Sweep forgets what is no longer held against requests.
 func (w *Watch) Sweep(now time.Time) {
 	w.cfg.Table.Sweep(now)
--- a/pkg/suspect/watch_test.go
+++ b/pkg/suspect/watch_test.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		held++
-		if w.shareable(n.Crash) {
+		if !w.inQuestion()[n.Crash] {
 			shared++
 		}
 	}
@@ -93,8 +93,8 @@
 		for i, want := range []Decision{Isolate, Isolate, Refuse} {
 			id := fmt.Sprint("e", i)
 			p.set(id, Ended)
-			w.Broke(run(id), account, fp, 0)
-			w.Broke(run(id), account, fp, 0)
+			w.Broke(run(id), account, fp, time.Now(), 0)
+			w.Broke(run(id), account, fp, time.Now(), 0)
 			decision, _ := w.Admit(fp)
 			require.Equal(t, want, decision, "known at this VM at once")
 			time.Sleep(2 * firstProbe)
@@ -117,7 +117,7 @@
 		for i := range 50 {
 			id := fmt.Sprint("e", i%5)
 			p.set(id, Alive)
-			w.Broke(run(id), account, fp, 0)
+			w.Broke(run(id), account, fp, time.Now(), 0)
 			time.Sleep(time.Duration(i%7) * 50 * time.Millisecond)
 			_, shared := w.crashes()
 			require.Zero(t, shared, "nobody else hears of it")
@@ -143,7 +143,7 @@
 			p := newEndpoints()
 			w := newWatch(t, p)
 			now := time.Now()
-			w.Broke(run("e"), account, fp, 0)
+			w.Broke(run("e"), account, fp, time.Now(), 0)
 			time.Sleep(firstProbe / 2)
 			w.Answered(run("e").Incarnation, now.Add(c.sent))
 			if c.lives {
@@ -163,7 +163,7 @@
 func TestSilentEndpointsCountAsEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWatch(t, newEndpoints())
-		w.Broke(run("e"), account, fp, 0)
+		w.Broke(run("e"), account, fp, time.Now(), 0)
 		time.Sleep(presumeAfter / 2)
 		requireCrashes(t, w, 1, 0)
 		time.Sleep(presumeAfter)
@@ -178,10 +178,10 @@
 		w := newWatch(t, p)
 		p.listed["leaving"], p.listed["replaced"] = Leaving, Replaced
 		p.set("replaced", Alive)
-		w.Broke(run("leaving"), account, fp, 0)
-		w.Broke(run("settled"), account, fp, settledAfter)
+		w.Broke(run("leaving"), account, fp, time.Now(), 0)
+		w.Broke(run("settled"), account, fp, time.Now(), settledAfter)
 		require.True(t, w.Quiet())
-		w.Broke(run("replaced"), account, fp, 0)
+		w.Broke(run("replaced"), account, fp, time.Now(), 0)
 		time.Sleep(time.Second)
 		requireCrashes(t, w, 1, 1)
 	})
@@ -195,7 +195,7 @@
 		for i := range 3 {
 			id := fmt.Sprint("e", i)
 			p.set(id, Ended)
-			w.Broke(run(id), account, fp, 0)
+			w.Broke(run(id), account, fp, time.Now(), 0)
 		}
 		time.Sleep(time.Second)
 		w.Served(fp)
@@ -214,8 +214,8 @@
 		p := newEndpoints()
 		p.set("e1", Ended)
 		w := newWatch(t, p)
-		w.Broke(run("e1"), account, fp, 0)
-		w.Broke(run("e1"), account, fp+1, 0)
+		w.Broke(run("e1"), account, fp, time.Now(), 0)
+		w.Broke(run("e1"), account, fp+1, time.Now(), 0)
 		require.True(t, w.Started(fp, "e2"))
 		require.Equal(t, []string{"e2"}, w.Avoid(fp+1))
 		require.Empty(t, w.Avoid(fp))
@@ -244,7 +244,7 @@
 			begun := time.Now()
 			w.AwaitVerdict(t.Context(), run("e").Incarnation)
 			require.Zero(t, time.Since(begun), "nothing in question")
-			w.Broke(run("e"), account, fp, 0)
+			w.Broke(run("e"), account, fp, time.Now(), 0)
 			w.AwaitVerdict(t.Context(), run("e").Incarnation)
 			took := time.Since(begun)
 			require.True(t, took >= c.at && took <= c.most, "%s: %v", name, took)
@@ -252,3 +252,33 @@
 		})
 	}
 }
+
+// Equal requests that are served all the time are under way whenever an endpoint ends, and not to blame for it.
+func TestRequestsServedLatelyAreNoSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newEndpoints()
+		w := newWatch(t, p)
+		w.Served(fp)
+		for i := range 5 {
+			id := fmt.Sprint("e", i)
+			p.set(id, Ended)
+			w.Broke(run(id), account, fp, time.Now(), 0)
+			time.Sleep(servedMemory / 6)
+		}
+		require.True(t, w.Quiet())
+		time.Sleep(2 * servedMemory)
+		w.Broke(run("e0"), account, fp, time.Now(), 0)
+		require.False(t, w.Quiet(), "it may have become one since")
+		time.Sleep(time.Second)
+	})
+}
+
+// What is known of served requests is bounded.
+func TestServedIsBounded(t *testing.T) {
+	s := newServed()
+	now := time.Unix(0, 0)
+	for i := range 10 * servedEntries {
+		s.note(uint64(i), now.Add(time.Duration(i)*time.Millisecond))
+	}
+	require.LessOrEqual(t, len(s.now)+len(s.before), 2*servedEntries)
+}
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -247,13 +247,13 @@
 // checkQuota: what runs of an account stays within its limit in every window.
 func (f *findings) checkQuota(attempts []*attempt) {
 	type spending struct {
-		at     time.Time
-		tokens int64
+		sent, at time.Time
+		tokens   int64
 	}
 	used := map[string][]spending{}
 	for _, a := range attempts {
 		if runs := f.w.audit.Runs(a.id); len(runs) > 0 {
-			used[a.account] = append(used[a.account], spending{runs[0].Begun, a.kind.tokens})
+			used[a.account] = append(used[a.account], spending{a.sent, runs[0].Begun, a.kind.tokens})
 		}
 	}
 	for _, account := range f.w.accounts {
@@ -270,7 +270,13 @@
 				sum -= list[first].tokens
 			}
 			if float64(sum) > limit {
-				f.add("quota: %s used %d of %.0f tokens within %v at %s", account.name, sum, limit, quotaWindow, f.at(s.at))
+				early := int64(0)
+				for _, other := range list[first:] {
+					if other.sent.Before(s.at.Add(-quotaWindow)) && !other.at.After(s.at) {
+						early += other.tokens
+					}
+				}
+				f.add("quota: %s used %d of %.0f tokens within %v at %s, %d sent before", account.name, sum, limit, quotaWindow, f.at(s.at), early)
 				break
 			}
 		}
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -59,6 +59,9 @@
 	kind kind
 	// atOnce says that each sending goes to all VMs at the same moment; else they take turns.
 	atOnce bool
+	// accepting says that the address of an endpoint that has ended goes on taking connections, and closes them: something
+	// stands before it.
+	accepting bool
 	// lasts is for how long it is sent.
 	lasts time.Duration
 }
@@ -141,8 +144,8 @@
 // route, through whichever VM it comes; other requests are not taken for it.
 func TestRequestThatCrashesEndpointsIsStopped(t *testing.T) {
 	for i, k := range kinds {
-		f := fatality{kind: k, atOnce: i%2 == 1, lasts: 9 * time.Second}
-		t.Run(fmt.Sprintf("%s/at_once=%t", k.name, f.atOnce), func(t *testing.T) {
+		f := fatality{kind: k, atOnce: i%2 == 1, accepting: i >= 2, lasts: 9 * time.Second}
+		t.Run(fmt.Sprintf("%s/at_once=%t,accepting=%t", k.name, f.atOnce, f.accepting), func(t *testing.T) {
 			t.Parallel()
 			broken, w, c := play(t, plan{seed: 1, vms: 4, callers: 6, calm: 2 * time.Second, fatal: &f})
 			t.Logf("%d endpoints crashed", len(w.audit.Crashes()))
@@ -157,7 +160,7 @@
 	t.Parallel()
 	for _, seed := range chosenSeeds(500) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			f := fatality{kind: kinds[seed%uint64(len(kinds))], atOnce: seed%3 == 0, lasts: *forFlag + 8*time.Second}
+			f := fatality{kind: kinds[seed%uint64(len(kinds))], atOnce: seed%3 == 0, accepting: seed%5 == 0, lasts: *forFlag + 8*time.Second}
 			broken, w, c := play(t, plan{
 				seed: seed, vms: *vmsFlag, callers: 10, calm: 2 * time.Second, struck: *forFlag, pause: 1200 * time.Millisecond, fatal: &f,
 			})
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -25,6 +25,7 @@
 	// The fields below are guarded by mu.
 
 	listener net.Listener
+	closed   bool
 	target   string
 	way      way
 	conns    map[net.Conn]any
@@ -50,21 +51,27 @@
 func (p *proxy) shut() {
 	p.mu.Lock()
 	_ = p.listener.Close()
+	p.closed = true
 	p.mu.Unlock()
 	p.reset()
 }
 
-// reopen takes connections again at the same address, for another server.
-func (p *proxy) reopen(target string) error {
+// retarget passes connections at the same address on to another server. It reports false if the address cannot be had.
+func (p *proxy) retarget(target string) bool {
 	l, err := net.Listen("tcp", p.address())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil && !p.closed {
+		// The proxy has gone on taking connections.
+		p.target = target
+		return true
+	}
 	if err != nil {
-		return err
+		return false
 	}
-	p.mu.Lock()
-	p.listener, p.target = l, target
-	p.mu.Unlock()
+	p.listener, p.target, p.closed = l, target, false
 	go p.accept(l)
-	return nil
+	return true
 }
 
 func (p *proxy) set(w way) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -63,6 +63,7 @@
 // play runs a deployment by a plan and returns the promises that were broken.
 func play(t *testing.T, p plan) ([]string, *world, *callers) {
 	w := newWorld(t, binary, p.seed, p.vms)
+	w.accepting = p.fatal != nil && p.fatal.accepting
 	c, ch := newCallers(w), newChanges()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -82,6 +83,8 @@
 	vms      []*vm
 	accounts []account
 	faults   *faultLog
+	// accepting says that the addresses of endpoints that have ended go on taking connections.
+	accepting bool
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -179,7 +182,7 @@
 	var p *proxy
 	if before == nil {
 		p = newProxy(w.t, l.Addr().String())
-	} else if p = before.proxy; p.reopen(l.Addr().String()) != nil {
+	} else if p = before.proxy; !p.retarget(l.Addr().String()) {
 		// Another process has taken the port meanwhile.
 		p, before = newProxy(w.t, l.Addr().String()), nil
 	}
@@ -216,7 +219,11 @@
 		// The store drops the entry of an endpoint that writes no more.
 		time.AfterFunc(3*heartbeat, func() { w.lapse(e) })
 	}
-	e.proxy.shut()
+	if w.accepting {
+		e.proxy.reset()
+	} else {
+		e.proxy.shut()
+	}
 }
 
 // lapse drops the entry of an endpoint that has ended, unless it has started again under its name.
@@ -260,8 +267,8 @@
 			route("safe", "safe", serviceGroup, safePrefix, 3),
 		},
 		Services: []map[string]any{
-			{"name": serviceGroup, "health_path": "/healthz", "max_connections": 100},
-			{"name": engineGroup, "health_path": "/healthz", "max_connections": 200, "engine": map[string]any{
+			{"name": serviceGroup, "health_path": standin.HealthPath, "max_connections": 100},
+			{"name": engineGroup, "health_path": standin.HealthPath, "max_connections": 200, "engine": map[string]any{
 				"slots": 16, "kv_cache_tokens": 100_000, "max_adapters": places,
 				"models": []map[string]any{{"name": modelName, "load_s": 0.5}},
 			}},
@@ -292,11 +299,23 @@
 	return w.config.Version
 }
 
+// Ports of VMs lie below those that the system gives to outgoing connections, and each process that plays has a range of
+// its own: a VM that has ended must find its ports free when it starts again.
+const (
+	firstPort  = 12000
+	portRanges = 20
+	portRange  = 1000
+)
+
+// nextPort is the next port to try within the range of this process.
+var nextPort atomic.Int64
+
 // freePorts returns as many free ports in a row.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
-	for range 200 {
-		first := 20000 + rand.IntN(20000)
+	for range portRange {
+		offset := int(nextPort.Add(int64(n))) % (portRange - n)
+		first := firstPort + os.Getpid()%portRanges*portRange + offset
 		free := true
 		for port := first; port < first+n && free; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
