Forget after ten seconds that a request was served

Cause: a request that is served and then begins to crash endpoints went uncounted for up to a minute. Endpoints are back within seconds, and requests that are to be cleared by this come far more often. TestRequestsServedLatelyAreNoSuspects as it was.

--- a/pkg/suspect/served.go
+++ b/pkg/suspect/served.go
@@ -8,7 +8,7 @@
 const (
 	// servedMemory is how long at least it is known that a request was answered whole: longer than endpoints take to come
 	// back. It is known for twice that at most.
-	servedMemory = 30 * time.Second
+	servedMemory = 10 * time.Second
 	// servedEntries bounds the requests of one servedMemory.
 	servedEntries = 2048
 )
