Tell all VMs of refused requests that were read from the table, and drop their rows once they are cleared

What callers could see: after a restart of all VMs of a deployment of more than eight, most VMs sent a refused request to endpoints again; and one that had been answered whole since was refused again by VMs that restarted. Found by reading.

Cause: what a VM reads from the table counted as hearsay, which only homes pass on, and only the few stewards list the table; a row stayed for its hour in any case.

Change: what was read counts as seen, so that the homes are told; a listed row of a request against which nothing is held is dropped.

--- a/pkg/suspect/rows.go
+++ b/pkg/suspect/rows.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// read takes in the rows that are known. It returns one that is no longer held against its request, if this VM is to
-// drop it.
+// read takes in the rows that are known. It returns one that is no longer held against its request: it would refuse the
+// request again once a VM restarts.
 func (r *Rows) read() (expired platform.Row, found bool) {
 	for _, known := range r.table.Known(rowPrefix) {
 		if r.dropped[known.Key] == known.Version {
@@ -94,6 +94,9 @@
 			continue
 		}
 		if r.stored[fingerprint] {
+			if r.share.stateOf(r.now(), fingerprint).crashes == 0 {
+				expired, found = known, true
+			}
 			continue
 		}
 		r.stored[fingerprint] = true
@@ -102,6 +105,8 @@
 			notices = append(notices, Notice{Account: held.Account, Fingerprint: fingerprint, Crash: crash, Age: age})
 		}
 		r.share.take("table", notices)
+		// Only a few VMs list the table: they tell the others.
+		r.share.table.Vouch(fingerprint)
 	}
 	return expired, found
 }
