Log the rate limits that endpoints state in their responses

Cause: an endpoint got more requests than the limit it had stated, and no log line says that a limit was stated, by which process of the endpoint, how long ago, or that a VM knows of it. Change: the header is parsed in platform/ and goes to pkg/ratelimit, which keeps the last statement for each endpoint. Event endpoint_limit when a limit is first stated, changes or ends; limit, limit_started and limit_age in placed; limit and limit_age in the state dump; counter ratelimit.changes.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -80,6 +80,12 @@
 	// or is not followed.
 	RetryAfter     time.Duration
 	RetryAfterText string
+	// RateLimit is the number of requests per second that the endpoint accepts from all VMs together for as long
+	// as its responses say so. It is valid only if HasRateLimit is set. RateLimitText is the value as the endpoint
+	// sent it, if that could not be parsed.
+	RateLimit     float64
+	HasRateLimit  bool
+	RateLimitText string
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
@@ -39,6 +40,8 @@
 	Engines ReportReader
 	// RosterAge returns how old the list of endpoints may be.
 	RosterAge func() time.Duration
+	// Limits tracks the rate limits that endpoints state.
+	Limits *ratelimit.Limiter
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
 	Newest  func(residency.Key) int
 	Metrics metrics.Registry
@@ -77,6 +80,7 @@
 		d.locations.sweep(now)
 		d.hotKeys.sweep(now)
 		d.reports.sweep(now)
+		d.cfg.Limits.Sweep(now)
 	})
 	d.owners.run(ctx)
 }
@@ -117,7 +121,7 @@
 
 // logPlaced logs that a request goes to an endpoint, together with the reasons for the choice.
 func (d *Dispatcher) logPlaced(req gateway.Request, e roster.Endpoint, reasons logrus.Fields) {
-	d.cfg.Log.WithFields(reasons).WithFields(logrus.Fields{
+	d.cfg.Log.WithFields(reasons).WithFields(d.cfg.Limits.LogFields(e.ID)).WithFields(logrus.Fields{
 		"event": "placed", "id": req.ID, "endpoint": e.ID, "started": e.Started,
 		"list_age": d.cfg.RosterAge().Round(time.Millisecond),
 	}).Info("request placed on endpoint")
--- a/pkg/dispatch/health_test.go
+++ b/pkg/dispatch/health_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -37,6 +38,11 @@
 	return log
 }
 
+// noLimits returns a limiter of endpoints that state no limits.
+func noLimits() *ratelimit.Limiter {
+	return ratelimit.New(ratelimit.Config{Metrics: metrics.NewRegistry(), Log: discardLogger()})
+}
+
 // The log says when and why an endpoint is avoided, and when it is used again.
 func TestHealthChangesAreLogged(t *testing.T) {
 	log, hook := test.NewNullLogger()
@@ -127,7 +133,7 @@
 
 // The progress callback of a placement records activity of the endpoint.
 func TestPlacementRecordsProgress(t *testing.T) {
-	d := New(Config{Log: discardLogger()})
+	d := New(Config{Log: discardLogger(), Limits: noLimits()})
 	e := endpoints("a")[0]
 	placement := d.newPlacement(e, 0, 0, func(orders.PermitUpdate) {})
 	d.health.get(e.Incarnation).lastActivity = time.Now().Add(-2 * unresponsiveAfter)
--- a/pkg/dispatch/hotkeys_test.go
+++ b/pkg/dispatch/hotkeys_test.go
@@ -80,7 +80,8 @@
 		}
 		view.Set(roster.NewView(list))
 		d := New(Config{
-			Self: "vm", Roster: view, Leases: q, PeerClient: q, Log: discardLogger(),
+			Limits: noLimits(),
+			Self:   "vm", Roster: view, Leases: q, PeerClient: q, Log: discardLogger(),
 			RosterAge: func() time.Duration { return 0 }, Newest: func(residency.Key) int { return 0 },
 		})
 		refused, lateRefusals := 0, 0
--- a/pkg/dispatch/pause_test.go
+++ b/pkg/dispatch/pause_test.go
@@ -92,7 +92,7 @@
 	r := roster.New()
 	list := endpoints("a", "b")
 	r.Set(roster.NewView(list))
-	d := New(Config{Roster: r, Log: discardLogger(), Metrics: metrics.NewRegistry(), RosterAge: func() time.Duration { return 0 }})
+	d := New(Config{Limits: noLimits(), Roster: r, Log: discardLogger(), Metrics: metrics.NewRegistry(), RosterAge: func() time.Duration { return 0 }})
 	d.health.jitter = func() float64 { return 0 }
 	req := gateway.Request{Group: bundle.Group{Name: "g"}}
 	for _, pause := range []time.Duration{20 * time.Second, 10 * time.Second} {
--- a/pkg/dispatch/reports_test.go
+++ b/pkg/dispatch/reports_test.go
@@ -73,7 +73,8 @@
 	view := roster.New()
 	view.Set(roster.NewView(list))
 	d := New(Config{
-		Self: "vm", Roster: view, Leases: o, PeerClient: o, Engines: o, Log: discardLogger(),
+		Limits: noLimits(),
+		Self:   "vm", Roster: view, Leases: o, PeerClient: o, Engines: o, Log: discardLogger(),
 		RosterAge: func() time.Duration { return 0 }, Newest: func(residency.Key) int { return newest },
 	})
 	return d, ids(rankHomes("m/"+adapter, list))
--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -78,7 +78,7 @@
 		fx.StopTimeout(s.Bounds.Grace),
 		fx.Provide(
 			newIdentity, newLog, newLiveSettings, metrics.NewRegistry, newPlatform, newBackground, newListeners,
-			newFleetView, newUpdateLog, newRelay, newUpstream,
+			newFleetView, newUpdateLog, newRelay, newRateLimiter, newUpstream,
 			newPeers, newCoordination, newAllowances, newOrders, newDispatcher, newSuspects, newGateway, newServers, newProcess,
 		),
 		fx.Invoke(connectComponents, registerServices),
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -21,6 +21,7 @@
 	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/relay"
 )
 
@@ -99,6 +100,7 @@
 	Coordination coordination
 	Allowances   allowances
 	Orders       *orders.Service
+	Limits       *ratelimit.Limiter
 	Dispatcher   *dispatch.Dispatcher
 	Suspects     suspects
 	Gateway      *gateway.Gateway
--- a/pkg/gatewayd/state.go
+++ b/pkg/gatewayd/state.go
@@ -8,6 +8,7 @@
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/relay"
 	"github.com/mallowlink/mallowlink/pkg/suspect"
 )
@@ -65,6 +66,7 @@
 	Address  string `json:"address"`
 	Draining bool   `json:"draining"`
 	dispatch.HealthStatus
+	ratelimit.State
 }
 
 // state returns the dump of the process's state.
@@ -90,7 +92,7 @@
 	for _, e := range view.roster.View().All() {
 		s.Endpoints = append(s.Endpoints, EndpointState{
 			Endpoint: e.ID, Group: e.Group, Address: e.Address, Draining: e.Draining,
-			HealthStatus: p.components.Dispatcher.HealthStatus(e.Incarnation),
+			HealthStatus: p.components.Dispatcher.HealthStatus(e.Incarnation), State: p.components.Limits.State(e.ID),
 		})
 	}
 	return s
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -14,6 +14,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
 	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/follow"
@@ -23,6 +24,7 @@
 	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/relay"
 	"github.com/mallowlink/mallowlink/pkg/retry"
 	"github.com/mallowlink/mallowlink/pkg/roster"
@@ -123,7 +125,11 @@
 	metricLeaving = "upstream.leaving"
 )
 
-func newUpstream(p Platform, view *fleetView, registry metrics.Registry) outbound {
+func newRateLimiter(registry metrics.Registry, log logrus.FieldLogger) *ratelimit.Limiter {
+	return ratelimit.New(ratelimit.Config{Metrics: registry, Log: log})
+}
+
+func newUpstream(p Platform, view *fleetView, limits *ratelimit.Limiter, registry metrics.Registry) outbound {
 	pools := upstream.NewPools()
 	dials := metrics.GetOrRegisterCounter(metricDials, registry)
 	leaving := metrics.GetOrRegisterCounter(metricLeaving, registry)
@@ -134,6 +140,9 @@
 				leaving.Inc(1)
 			}
 		},
+		OnResponse: func(target upstream.Target, info dialect.ResponseInfo, sent time.Time) {
+			limits.Observe(roster.Incarnation{ID: target.ID, Started: target.Started}, info, sent)
+		},
 	})}
 }
 
@@ -278,7 +287,7 @@
 	})
 }
 
-func newDispatcher(s Settings, id identity, p Platform, out outbound, coord coordination, view *fleetView, o *orders.Service, pp peers, registry metrics.Registry, log logrus.FieldLogger) *dispatch.Dispatcher {
+func newDispatcher(s Settings, id identity, p Platform, out outbound, coord coordination, view *fleetView, o *orders.Service, limits *ratelimit.Limiter, pp peers, registry metrics.Registry, log logrus.FieldLogger) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Self:          id.vm,
 		Incarnation:   id.incarnation,
@@ -289,6 +298,7 @@
 		PeerClient:    pp.pool,
 		Engines:       p.NewEngines(out.client),
 		RosterAge:     view.endpointsAge,
+		Limits:        limits,
 		Newest:        view.newestVersion,
 		Metrics:       registry,
 		Log:           log,
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -71,6 +71,9 @@
 	OnDial func()
 	// OnLeaving is called when an endpoint has said in a response that it is about to terminate.
 	OnLeaving func(Target)
+	// OnResponse is called with what the head of an endpoint's own response states. sent is when the request was
+	// sent.
+	OnResponse func(target Target, info dialect.ResponseInfo, sent time.Time)
 }
 
 // NewClient returns a Client that takes its connections from the pools.
@@ -97,7 +100,7 @@
 
 // exchange sends the request over the connection and reads the head of its response.
 func (c *Client) exchange(ctx context.Context, target Target, cn *conn, req Request) (*Response, error) {
-	a := &Response{client: c, target: target, conn: cn}
+	a := &Response{client: c, target: target, conn: cn, sent: time.Now()}
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := writeRequest(cn, req); err != nil {
 		a.abandon()
@@ -164,6 +167,7 @@
 	client *Client
 	target Target
 	conn   *conn
+	sent   time.Time
 	// stopWatch stops closing the connection when the request's context ends. It reports false if the connection
 	// is being closed already.
 	stopWatch func() bool
@@ -191,7 +195,7 @@
 		info := a.client.dialect.Judge(resp.StatusCode, resp.Header)
 		if info.RequestID == "" || info.RequestID == req.ID {
 			a.resp, a.Info = resp, info
-			a.client.reportLeaving(a.target, info, req.ID)
+			a.client.reportResponse(a, req.ID)
 			a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 			return nil
 		}
@@ -202,12 +206,18 @@
 	return errStray
 }
 
-// reportLeaving fires the leaving event if the response says that the endpoint is about to terminate. Only a response
-// that names the request is the endpoint's own. A misdirected request got its response from another endpoint at the
-// address, whose response says nothing about the endpoint addressed.
-func (c *Client) reportLeaving(target Target, info dialect.ResponseInfo, id string) {
-	if info.Leaving && info.RequestID == id && !info.Misdirected && c.events.OnLeaving != nil {
-		c.events.OnLeaving(target)
+// reportResponse fires the events of a response. Only a response that names the request is the endpoint's own. A
+// misdirected request got its response from another endpoint at the address, whose response says nothing about the
+// endpoint addressed.
+func (c *Client) reportResponse(a *Response, id string) {
+	if a.Info.RequestID != id || a.Info.Misdirected {
+		return
+	}
+	if a.Info.Leaving && c.events.OnLeaving != nil {
+		c.events.OnLeaving(a.target)
+	}
+	if c.events.OnResponse != nil {
+		c.events.OnResponse(a.target, a.Info, a.sent)
 	}
 }
 
