Failing test: an endpoint gets no more requests than the limit it states

Nothing acts on a stated limit. Change: a test with four VMs as processes, an engine and a plain service that state limits, and callers well above them. It counts what the endpoints got, by the users' rule.

--- /dev/null
+++ b/test/soak/limits_test.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// What an endpoint may get beyond the limit that it states, by the users' rules: limitFactor times the limit plus
+// limitSlack requests within limitWindow, from VMs that passed a response with the limit on limitNotice before.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitNotice = 500 * time.Millisecond
+)
+
+// limitTold maps each VM to when it has passed on the first response in which an endpoint stated a limit.
+func limitTold(arrivals []arrival) map[*vm]time.Time {
+	told := map[*vm]time.Time{}
+	for _, a := range arrivals {
+		if at, known := told[a.attempt.vm]; a.Limited && a.attempt.ok() && (!known || a.attempt.ended.Before(at)) {
+			told[a.attempt.vm] = a.attempt.ended
+		}
+	}
+	return told
+}
+
+// checkRequestLimits: an endpoint gets no more requests than it states, from all VMs that know of it together.
+func (f *findings) checkRequestLimits(attempts []*attempt) {
+	type run struct {
+		endpoint string
+		started  int64
+	}
+	byRun := map[run][]arrival{}
+	for v, list := range f.visits(attempts) {
+		key := run{v.endpoint, v.started}
+		byRun[key] = append(byRun[key], list...)
+	}
+	for key, list := range byRun {
+		slices.SortFunc(list, func(a, b arrival) int { return a.At.Compare(b.At) })
+		f.checkRequestLimit(key.endpoint, list)
+	}
+}
+
+// checkRequestLimit checks the requests that one run of an endpoint got, in order.
+func (f *findings) checkRequestLimit(endpoint string, list []arrival) {
+	first := slices.IndexFunc(list, func(a arrival) bool { return a.Limited })
+	if first < 0 {
+		return
+	}
+	told, from := limitTold(list), list[first].At.Add(contactTime)
+	for i, begin := range list {
+		if begin.At.Before(from) || !begin.Limited {
+			continue
+		}
+		count, limit := 0, 0.0
+		for _, a := range list[i:] {
+			if a.At.Sub(begin.At) >= limitWindow || !a.Limited {
+				break
+			}
+			limit = max(limit, a.Limit)
+			at, known := told[a.attempt.vm]
+			if known && a.At.After(at.Add(limitNotice)) && !f.w.faults.struck(a.attempt.vm, begin.At.Add(-contactTime), a.At) {
+				count++
+			}
+		}
+		if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; float64(count) > allowed {
+			f.add("limit: %s, which had stated a limit of %g a second, got %d requests within %v from %s on, allowed %.0f",
+				endpoint, limit, count, limitWindow, f.at(begin.At), allowed)
+			return
+		}
+	}
+}
+
+// An endpoint that states how many requests a second it accepts must not get more than that from all VMs together,
+// whichever VM the requests come through, whether it is an engine or a plain service.
+func TestEndpointsGetNoMoreThanTheirStatedLimits(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, binary, 1, 4)
+	// The first account has no limit of its own.
+	w.accounts = w.accounts[:1]
+	c := newCallers(w)
+	ctx, cancel := context.WithCancel(t.Context())
+	var loops, calls sync.WaitGroup
+	defer func() {
+		cancel()
+		loops.Wait()
+	}()
+	for _, v := range w.vms {
+		w.start(v)
+		loops.Go(func() { w.balance(ctx, v) })
+	}
+	w.awaitReady()
+	limits := map[string]float64{engineGroup: 3, serviceGroup: 6.5}
+	for group, limit := range limits {
+		w.alive(group)[0].SetRequestLimit(&limit)
+	}
+	begun := time.Now()
+	calling, stop := context.WithCancel(ctx)
+	for n := range 20 {
+		calls.Go(func() { c.run(calling, n, 1) })
+	}
+	sleep(ctx, contactTime+2*limitWindow)
+	stop()
+	calls.Wait()
+	f := &findings{w: w}
+	f.checkRequestLimits(c.all())
+	if !*knownRed {
+		for _, line := range f.list {
+			t.Logf("known red, passed over: %s", line)
+		}
+		f.list = nil
+	}
+	report(t, append(f.list, served(c, begun.Add(contactTime))...), w, c)
+}
