Count the requests sent before a limit was known towards the limit

Cause: in the incident the 84 requests of a 4 s window are those of second 7 to 10 in our logs (18, 22, 16, 28), so the window that is judged 3 s after the limit was first stated still holds a second of requests from before it. At the limit from the first moment on, an engine with four times its limit is over 1.5 times the limit within that window. Change: VMs count what they send to an endpoint without asking its home, by age, and report it when they ask, tell or are told.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -111,14 +110,13 @@
 			return placement, err
 		}
 	}
-	return gateway.Placement{}, d.noEndpointError(req)
+	return gateway.Placement{}, d.noRoomError(req, time.Now())
 }
 
 // tryPlace returns a placement for the request, or errOverLimit if the chosen endpoint has no room.
 func (d *Dispatcher) tryPlace(ctx context.Context, req gateway.Request) (gateway.Placement, error) {
 	now := time.Now()
-	candidates := d.health.candidates(d.group(req), req.Exclude, now)
-	candidates = slices.DeleteFunc(candidates, func(e roster.Endpoint) bool { return !d.cfg.Limits.BlockedUntil(e.ID, now).IsZero() })
+	candidates := d.cfg.Limits.Unblocked(d.health.candidates(d.group(req), req.Exclude, now), now)
 	if len(candidates) == 0 {
 		return gateway.Placement{}, d.noEndpointError(req)
 	}
@@ -155,15 +153,20 @@
 // noEndpointError returns the error for a request that no endpoint of its group accepts now. If endpoints have asked
 // for a pause or have no room within their stated limits, it says when the first of them accepts requests again.
 func (d *Dispatcher) noEndpointError(req gateway.Request) error {
-	group, now := d.group(req), time.Now()
-	if until := d.earliestRoom(group, now); !until.IsZero() {
-		e := result.New(result.QueueFull, "the endpoints that are left accept no more requests now: they have asked for a pause or are at the rate limits that they state")
-		e.RetryAfter = max(d.returns.schedule(req.Group.Name, until, d.returnInterval(group), now).Sub(now), minRetryAfter)
-		return e
+	if until := d.earliestRoom(d.group(req), time.Now()); !until.IsZero() {
+		return d.noRoomError(req, until)
 	}
 	return result.New(result.NoEndpoint, "no endpoint takes requests for the route")
 }
 
+// noRoomError returns the error for a request that may find room at an endpoint from a time on.
+func (d *Dispatcher) noRoomError(req gateway.Request, until time.Time) error {
+	now := time.Now()
+	e := result.New(result.QueueFull, "the endpoints that are left have asked for a pause or are at the rate limits that they state")
+	e.RetryAfter = max(d.returns.schedule(req.Group.Name, until, d.returnInterval(d.group(req)), now).Sub(now), minRetryAfter)
+	return e
+}
+
 // logPlaced logs that a request goes to an endpoint, together with the reasons for the choice.
 func (d *Dispatcher) logPlaced(req gateway.Request, e roster.Endpoint, limit ratelimit.Decision, reasons logrus.Fields) {
 	d.cfg.Log.WithFields(reasons).WithFields(limit.LogFields()).WithFields(logrus.Fields{
--- a/pkg/ratelimit/home.go
+++ b/pkg/ratelimit/home.go
@@ -36,12 +36,12 @@
 		return errMalformed
 	}
 	now := time.Now()
-	*reply = s.limiter.grant(args.Stated.Endpoint, args.Started, args.Stated.statement(now.Add(-callTimeout), now), args.VM)
+	*reply = s.limiter.grant(args, args.Stated.statement(now.Add(-callTimeout), now))
 	return nil
 }
 
 // Tell records what an endpoint has stated. The home of the endpoint passes limits on to all VMs.
-func (s *Service) Tell(args *TellArgs, _ *TellReply) error {
+func (s *Service) Tell(args *TellArgs, reply *TellReply) error {
 	if !args.Stated.valid() {
 		return errMalformed
 	}
@@ -49,6 +49,9 @@
 	s.limiter.mu.Lock()
 	defer s.limiter.mu.Unlock()
 	s.limiter.learn(args.Stated.Endpoint, args.Stated.statement(now.Add(-callTimeout), now), args.VM)
+	e := s.limiter.endpoint(args.Stated.Endpoint)
+	e.recordReport(args.VM, args.Recent, now)
+	reply.Recent = e.unasked.recent(now)
 	return nil
 }
 
@@ -60,25 +63,66 @@
 
 // grant grants or refuses a request of a VM to an endpoint, if this VM is the home of the endpoint. s is the limit as
 // the VM knows it.
-func (l *Limiter) grant(id string, started int64, s statement, vm string) TakeReply {
+func (l *Limiter) grant(args *TakeArgs, s statement) TakeReply {
+	id := args.Stated.Endpoint
 	if !l.isHome(id) {
 		return TakeReply{NotHome: true}
 	}
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.learn(id, s, vm)
-	e := l.endpoints[id]
-	if e == nil {
-		return TakeReply{Granted: true}
-	}
-	now := time.Now()
+	l.learn(id, s, args.VM)
+	e := l.endpoint(id)
+	e.recordReport(args.VM, args.Recent, now)
 	reply := TakeReply{Granted: true, Stated: e.stated.message(id, now)}
 	if e.stated.limited() {
-		reply.Granted, reply.RetryAfter = e.bucket.take(e.stated.rate, started, now)
+		reply.Granted, reply.RetryAfter = e.grant(args.Started, now)
 	}
 	return reply
 }
 
+// grant grants or refuses a request to an endpoint that states a limit.
+func (e *endpoint) grant(started int64, now time.Time) (granted bool, retryAfter time.Duration) {
+	for ahead := time.Duration(0); ahead <= window; ahead += binWidth {
+		if !roomInWindow(e.stated.rate, e.inWindow(now.Add(ahead))) {
+			continue
+		}
+		if ahead > 0 {
+			return false, min(ahead, maxRetryAfter)
+		}
+		granted, retryAfter = e.bucket.take(e.stated.rate, started, now)
+		if granted {
+			e.granted.add(now)
+		}
+		return granted, retryAfter
+	}
+	return false, maxRetryAfter
+}
+
+// inWindow returns the number of the requests known now that are within the window at a time.
+func (e *endpoint) inWindow(at time.Time) int {
+	total := e.granted.sum(at) + e.unasked.sum(at)
+	for vm, c := range e.reports {
+		n := c.sum(at)
+		if n == 0 && at.Sub(c.at) > window {
+			delete(e.reports, vm)
+		}
+		total += n
+	}
+	return total
+}
+
+// recordReport records the requests that another VM has sent without asking a home.
+func (e *endpoint) recordReport(vm string, recent []int, now time.Time) {
+	if recent == nil {
+		return
+	}
+	if e.reports == nil {
+		e.reports = map[string]counts{}
+	}
+	e.reports[vm] = countsOf(recent, now)
+}
+
 // told is what a VM was told about the limit of an endpoint.
 type told struct {
 	incarnation string
@@ -161,13 +205,17 @@
 func (l *Limiter) callTell(m membership.Member, args *TellArgs) error {
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
-	if err := l.cfg.PeerClient.Call(ctx, m.PeerAddress, tellMethod, args, &TellReply{}); err != nil {
+	var reply TellReply
+	if err := l.cfg.PeerClient.Call(ctx, m.PeerAddress, tellMethod, args, &reply); err != nil {
 		return errors.Wrapf(err, "tell %s", m.ID)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.endpoints[args.Stated.Endpoint]; e != nil {
-		e.told[m.ID] = told{m.Incarnation, args.Stated.Rate}
+	e := l.endpoint(args.Stated.Endpoint)
+	e.recordReport(m.ID, reply.Recent, time.Now())
+	if e.told == nil {
+		e.told = map[string]told{}
 	}
+	e.told[m.ID] = told{m.Incarnation, args.Stated.Rate}
 	return nil
 }
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -26,6 +26,8 @@
 const (
 	// callTimeout bounds one call from VM to VM. VMs are about 1 ms apart.
 	callTimeout = 150 * time.Millisecond
+	// takeTimeout bounds the call that a request waits for. Some requests have objectives of 100 ms.
+	takeTimeout = 80 * time.Millisecond
 	// homeBackoff is how long the home of an endpoint is not asked after it could not be reached.
 	homeBackoff = 500 * time.Millisecond
 	// noHomeRetryAfter is the time after which to try again an endpoint without a reachable home, for a VM that does
@@ -86,9 +88,16 @@
 	homeLost         bool
 	homeBackoffUntil time.Time
 	share            share
-	// bucket and told are used while this VM is the home.
+	// unasked counts the requests that this VM has sent to the endpoint without asking a home.
+	unasked counts
+
+	// The fields below are used while this VM is the home.
+
 	bucket bucket
-	told   map[string]told // by VM
+	// granted counts the granted requests, reports those that other VMs have sent without asking, by VM.
+	granted counts
+	reports map[string]counts
+	told    map[string]told // by VM
 }
 
 // New returns a Limiter that knows of no limits. Its calls to other VMs end when ctx ends.
@@ -142,18 +151,21 @@
 	}
 }
 
-// learn records a statement unless the known one counts. It reports whether the limit has changed. l.mu is held.
-func (l *Limiter) learn(id string, s statement, source string) bool {
+// endpoint returns what is known about an endpoint. l.mu is held.
+func (l *Limiter) endpoint(id string) *endpoint {
 	e := l.endpoints[id]
 	if e == nil {
-		if !s.limited() {
-			return false
-		}
-		e = &endpoint{stated: statement{rate: unlimited}, told: map[string]told{}}
+		e = &endpoint{stated: statement{rate: unlimited}}
 		l.endpoints[id] = e
 	}
+	return e
+}
+
+// learn records a statement unless the known one counts. It reports whether the limit has changed. l.mu is held.
+func (l *Limiter) learn(id string, s statement, source string) bool {
+	e := l.endpoint(id)
 	before := e.stated
-	if !s.supersedes(before) {
+	if !before.known() && !s.limited() || !s.supersedes(before) {
 		return false
 	}
 	e.stated = s
@@ -188,7 +200,10 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
-	args := &TellArgs{VM: l.cfg.Self, Stated: s.message(id, time.Now())}
+	now := time.Now()
+	l.mu.Lock()
+	args := &TellArgs{VM: l.cfg.Self, Stated: s.message(id, now), Recent: l.endpoint(id).unasked.recent(now)}
+	l.mu.Unlock()
 	if err := l.cfg.PeerClient.Call(ctx, holder.Address, tellMethod, args, &TellReply{}); err != nil {
 		// The home learns of a limit when it is next asked, and of its end from a response to another VM.
 		l.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_limit_not_told", "endpoint": id, "vm_told": holder.VM}).
@@ -196,13 +211,14 @@
 	}
 }
 
-// sweep discards the endpoints that have stated no limit for retention, and updates the number of VMs.
+// sweep discards the endpoints that have stated no limit for retention and got no request from this VM for a window, and
+// updates the number of VMs.
 func (l *Limiter) sweep(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countVMs()
 	for id, e := range l.endpoints {
-		if clock.Elapsed(e.stated.received, now) > retention {
+		if e.unasked.sum(now) == 0 && (!e.stated.known() || clock.Elapsed(e.stated.received, now) > retention) {
 			delete(l.endpoints, id)
 		}
 	}
--- a/pkg/ratelimit/message.go
+++ b/pkg/ratelimit/message.go
@@ -36,6 +36,8 @@
 	Started int64
 	// Stated is the limit as the VM knows it.
 	Stated Stated
+	// Recent counts the requests that the VM has lately sent to the endpoint without asking a home, by age.
+	Recent []int
 }
 
 // TakeReply is the reply to TakeArgs.
@@ -54,10 +56,15 @@
 	// VM is the VM that tells.
 	VM     string
 	Stated Stated
+	// Recent is that of TakeArgs.
+	Recent []int
 }
 
-// TellReply is the empty reply to TellArgs.
-type TellReply struct{}
+// TellReply is the reply to TellArgs.
+type TellReply struct {
+	// Recent is that of TakeArgs, of the VM that was told.
+	Recent []int
+}
 
 // message returns the statement about an endpoint as it is sent to another VM.
 func (s statement) message(endpoint string, now time.Time) Stated {
--- a/pkg/ratelimit/take.go
+++ b/pkg/ratelimit/take.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -54,30 +55,47 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoints[endpoint]
-	if e == nil || !e.stated.limited() || !now.Before(e.blockedUntil) {
+	if e == nil || !e.blocked(now) {
 		return time.Time{}
 	}
 	return e.blockedUntil
 }
 
+// Unblocked removes the endpoints from a list to which BlockedUntil allows no requests now. It changes the list.
+func (l *Limiter) Unblocked(list []roster.Endpoint, now time.Time) []roster.Endpoint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.DeleteFunc(list, func(e roster.Endpoint) bool {
+		known := l.endpoints[e.ID]
+		return known != nil && known.blocked(now)
+	})
+}
+
+// blocked reports whether no request may be sent to the endpoint now.
+func (e *endpoint) blocked(now time.Time) bool {
+	return e.stated.limited() && now.Before(e.blockedUntil)
+}
+
 // Take asks whether a request may be sent to an endpoint now. It calls the home of the endpoint if that states a limit.
 // Every request that is sent must have been granted.
 func (l *Limiter) Take(id roster.Incarnation) Decision {
 	now := time.Now()
 	l.mu.Lock()
-	e := l.endpoints[id.ID]
-	if e == nil || !e.stated.limited() {
+	e := l.endpoint(id.ID)
+	if !e.stated.limited() {
+		e.unasked.add(now)
 		l.mu.Unlock()
 		return Decision{Granted: true}
 	}
 	known, blocked, ask := e.stated, e.blockedUntil.Sub(now), !now.Before(e.homeBackoffUntil)
+	recent := e.unasked.recent(now)
 	l.mu.Unlock()
 	d := Decision{Limit: known.rate, Started: known.started, Age: now.Sub(known.received)}
 	if blocked > 0 {
 		d.By, d.RetryAfter = ByBlocked, blocked
 		return d
 	}
-	if ask && l.askHome(id, known, &d) {
+	if ask && l.askHome(id, known, recent, &d) {
 		return l.decided(id.ID, d)
 	}
 	l.useShare(id.ID, &d)
@@ -106,7 +124,7 @@
 
 // askHome asks the home of an endpoint, which may be this VM, and fills in its decision. It reports false if the home
 // has not decided.
-func (l *Limiter) askHome(id roster.Incarnation, known statement, d *Decision) bool {
+func (l *Limiter) askHome(id roster.Incarnation, known statement, recent []int, d *Decision) bool {
 	holder, ok := l.cfg.Leases.HolderOf(l.cfg.LeaseOf(id.ID))
 	if !ok {
 		l.recordHome(id.ID, errNoHome)
@@ -114,12 +132,13 @@
 	}
 	sent := time.Now()
 	var reply TakeReply
+	args := &TakeArgs{VM: l.cfg.Self, Started: id.Started, Stated: known.message(id.ID, sent)}
 	if holder.VM == l.cfg.Self {
-		reply = l.grant(id.ID, id.Started, known, l.cfg.Self)
+		reply = l.grant(args, known)
 	} else {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		args.Recent = recent
+		ctx, cancel := context.WithTimeout(l.ctx, takeTimeout)
 		defer cancel()
-		args := &TakeArgs{VM: l.cfg.Self, Started: id.Started, Stated: known.message(id.ID, sent)}
 		if err := l.cfg.PeerClient.Call(ctx, holder.Address, takeMethod, args, &reply); err != nil {
 			l.recordHome(id.ID, err)
 			return false
@@ -167,15 +186,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countVMs()
-	e := l.endpoints[id]
+	e, now := l.endpoint(id), time.Now()
 	switch {
-	case e == nil || !e.stated.limited():
+	case !e.stated.limited():
 		d.Granted = true
 	case l.maxVMs <= 1:
 		d.By, d.RetryAfter = ByNoHome, noHomeRetryAfter
 	default:
 		d.By, d.VMs = ByShare, l.maxVMs
-		d.Granted, d.RetryAfter = e.share.take(e.stated.rate, l.maxVMs, rand.Float64(), time.Now())
+		d.Granted, d.RetryAfter = e.share.take(e.stated.rate, l.maxVMs, rand.Float64(), now)
+	}
+	if d.Granted {
+		e.unasked.add(now)
 	}
 }
 
