Reset what holds back requests when an endpoint restarts; announce limits under one name

Cause: a VM that had been refused at a low limit did not ask again for up to 2 s after the endpoint had restarted under its old ID, so that the first response of the new process, which ends an old limit, came late (at 0.2 a second four of seven VMs sent freely 3 s after the restart). The home dropped reports of requests sent before the limit when it looked ahead. Change: a refusal counts for the incarnation that it was about; reports stay until they have left the window.

--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -13,7 +13,7 @@
 	var first time.Time
 	for _, e := range group {
 		until := d.health.earliestPauseEnd([]roster.Endpoint{e}, now)
-		if blocked := d.cfg.Limits.BlockedUntil(e.ID, now); !e.Draining && blocked.After(until) {
+		if blocked := d.cfg.Limits.BlockedUntil(e.Incarnation, now); !e.Draining && blocked.After(until) {
 			until = blocked
 		}
 		if !until.IsZero() && (first.IsZero() || until.Before(first)) {
--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -138,9 +138,9 @@
 	case *TakeArgs:
 		require.Equal(v.f.t, takeMethod, method)
 		return service.Take(encoded(v.f.t, a), reply.(*TakeReply))
-	case *TellArgs:
-		require.Equal(v.f.t, tellMethod, method)
-		return service.Tell(encoded(v.f.t, a), reply.(*TellReply))
+	case *AnnounceArgs:
+		require.Equal(v.f.t, announceMethod, method)
+		return service.Announce(encoded(v.f.t, a), reply.(*AnnounceReply))
 	}
 	return errors.Errorf("unknown arguments %T", args)
 }
@@ -352,7 +352,7 @@
 	})
 }
 
-// VMs that restart or are new are told the limit by the home, and use no share of a fleet that they do not know.
+// VMs that restart or are new learn the limit from the home, and use no share of a fleet that they do not know.
 func TestLimitHoldsForRestartedVMs(t *testing.T) {
 	inFleet(t, 60, func(f *fleet) {
 		f.state(5)
@@ -364,7 +364,7 @@
 		}
 		f.requireWithin(begun.Add(contactTime), 5)
 
-		// All restart at once, cut off from each other, and are told the limit by the endpoint's responses.
+		// All restart at once, cut off from each other, and learn the limit from the endpoint's responses.
 		for i := range f.vms {
 			f.start(i, 1)
 		}
--- a/pkg/ratelimit/home.go
+++ b/pkg/ratelimit/home.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// maxTells is the number of VMs that are told of a limit at the same time.
-	maxTells = 16
-	// tellInterval is the interval between two checks which VMs have to be told of limits.
-	tellInterval = time.Second
-	// toldTolerance is the share of a limit that VMs know down to which a fall of the limit is not worth telling them:
+	// maxAnnouncements is the number of VMs to which limits are announced at the same time.
+	maxAnnouncements = 16
+	// announceInterval is the interval between two checks to which VMs limits have to be announced.
+	announceInterval = time.Second
+	// announceTolerance is the share of a limit that VMs know down to which a fall of the limit is not announced:
 	// it matters only to those that cannot reach the home.
-	toldTolerance = 0.8
+	announceTolerance = 0.8
 )
 
 // errMalformed says that a message of another VM has fields out of range.
@@ -40,8 +40,8 @@
 	return nil
 }
 
-// Tell records what an endpoint has stated. The home of the endpoint passes limits on to all VMs.
-func (s *Service) Tell(args *TellArgs, reply *TellReply) error {
+// Announce records what an endpoint has stated, as another VM knows it.
+func (s *Service) Announce(args *AnnounceArgs, reply *AnnounceReply) error {
 	if !args.Stated.valid() {
 		return errMalformed
 	}
@@ -102,12 +102,8 @@
 // inWindow returns the number of the requests known now that are within the window at a time.
 func (e *endpoint) inWindow(at time.Time) int {
 	total := e.granted.sum(at) + e.unasked.sum(at)
-	for vm, c := range e.reports {
-		n := c.sum(at)
-		if n == 0 && at.Sub(c.at) > window {
-			delete(e.reports, vm)
-		}
-		total += n
+	for _, c := range e.reports {
+		total += c.sum(at)
 	}
 	return total
 }
@@ -120,48 +116,52 @@
 	if e.reports == nil {
 		e.reports = map[string]counts{}
 	}
-	e.reports[vm] = countsOf(recent, now)
+	if c := countsOf(recent, now); c.sum(now) > 0 {
+		e.reports[vm] = c
+	} else {
+		delete(e.reports, vm)
+	}
 }
 
-// told is what a VM was told about the limit of an endpoint.
-type told struct {
+// announced is the limit of an endpoint that was last announced to a VM.
+type announced struct {
 	incarnation string
 	rate        float64
 }
 
-// enough reports whether a VM that was told this need not be told the limit.
-func (t told) enough(incarnation string, limit float64) bool {
-	return t.incarnation == incarnation && t.rate*toldTolerance <= limit
+// enough reports whether a limit need not be announced to the process of a VM after this.
+func (a announced) enough(incarnation string, limit float64) bool {
+	return a.incarnation == incarnation && a.rate*announceTolerance <= limit
 }
 
-// tellAll tells all VMs the limits of the endpoints whose home this VM is, so that VMs that have had no response with
-// the limit keep to it as well: VMs that have just started or were cut off. The end of a limit is not told: a VM
-// learns of it when it next asks the home.
-func (l *Limiter) tellAll() {
+// announceAll announces the limits of the endpoints whose home this VM is to all VMs, so that VMs that have had no
+// response with the limit keep to it as well: VMs that have just started or were cut off. The end of a limit is not
+// announced: a VM learns of it when it next asks the home.
+func (l *Limiter) announceAll() {
 	var homeOf []string
 	for _, id := range l.limitedEndpoints() {
 		if l.isHome(id) {
 			homeOf = append(homeOf, id)
 		} else {
-			l.forgetTold(id)
+			l.forgetAnnounced(id)
 		}
 	}
 	if len(homeOf) == 0 {
 		return
 	}
 	var calls errgroup.Group
-	calls.SetLimit(maxTells)
+	calls.SetLimit(maxAnnouncements)
 	members := l.cfg.Fleet.Members()
 	for _, id := range homeOf {
 		for _, m := range members {
-			if args := l.tellArgs(id, m); args != nil {
-				calls.Go(func() error { return l.callTell(m, args) })
+			if args := l.announcement(id, m); args != nil {
+				calls.Go(func() error { return l.announceTo(m, args) })
 			}
 		}
 	}
 	if err := calls.Wait(); err != nil {
-		l.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_limit_not_told", "endpoints": len(homeOf), "vms": len(members)}).
-			Info("not all VMs could be told of the rate limits of endpoints")
+		l.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_limit_not_announced", "endpoints": len(homeOf), "vms": len(members)}).
+			Info("rate limits of endpoints could not be announced to all VMs")
 	}
 }
 
@@ -178,44 +178,44 @@
 	return ids
 }
 
-// forgetTold forgets what VMs were told about an endpoint that has another home now.
-func (l *Limiter) forgetTold(id string) {
+// forgetAnnounced forgets what was announced about an endpoint that has another home now.
+func (l *Limiter) forgetAnnounced(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.endpoints[id]; e != nil {
-		clear(e.told)
+		clear(e.announced)
 	}
 }
 
-// tellArgs returns what a VM has to be told about the limit of an endpoint; nil if it knows enough.
-func (l *Limiter) tellArgs(id string, m membership.Member) *TellArgs {
+// announcement returns what has to be announced to a VM about the limit of an endpoint; nil for nothing.
+func (l *Limiter) announcement(id string, m membership.Member) *AnnounceArgs {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoints[id]
 	if e == nil || !e.stated.limited() || m.ID == l.cfg.Self || m.Gone {
 		return nil
 	}
-	if t, ok := e.told[m.ID]; ok && t.enough(m.Incarnation, e.stated.rate) {
+	if last, ok := e.announced[m.ID]; ok && last.enough(m.Incarnation, e.stated.rate) {
 		return nil
 	}
-	return &TellArgs{VM: l.cfg.Self, Stated: e.stated.message(id, time.Now())}
+	return &AnnounceArgs{VM: l.cfg.Self, Stated: e.stated.message(id, time.Now())}
 }
 
-// callTell tells one VM of a limit.
-func (l *Limiter) callTell(m membership.Member, args *TellArgs) error {
+// announceTo announces a limit to one VM.
+func (l *Limiter) announceTo(m membership.Member, args *AnnounceArgs) error {
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
-	var reply TellReply
-	if err := l.cfg.PeerClient.Call(ctx, m.PeerAddress, tellMethod, args, &reply); err != nil {
-		return errors.Wrapf(err, "tell %s", m.ID)
+	var reply AnnounceReply
+	if err := l.cfg.PeerClient.Call(ctx, m.PeerAddress, announceMethod, args, &reply); err != nil {
+		return errors.Wrapf(err, "announce to %s", m.ID)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoint(args.Stated.Endpoint)
 	e.recordReport(m.ID, reply.Recent, time.Now())
-	if e.told == nil {
-		e.told = map[string]told{}
+	if e.announced == nil {
+		e.announced = map[string]announced{}
 	}
-	e.told[m.ID] = told{m.Incarnation, args.Stated.Rate}
+	e.announced[m.ID] = announced{m.Incarnation, args.Stated.Rate}
 	return nil
 }
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -2,9 +2,10 @@
 // per second that an endpoint accepts from all VMs together.
 //
 // The VM that holds the lease of an endpoint is the home of the endpoint. While a limit is stated, every VM asks the
-// home before each request to the endpoint, and the home grants requests at the limit. A home that has just begun
-// grants no burst, and learns of the limit from the VMs that ask. A VM that cannot reach the home may use its share
-// of a small part of the limit, so that all VMs together stay near the limit however they are cut off from each other.
+// home before each request to the endpoint, and the home grants requests at the limit. Requests that were sent before
+// the limit was known count as well: VMs report them to the home. A home that has just begun grants no burst, and learns
+// of the limit from the VMs that ask. A VM that cannot reach the home may use its share of a small part of the limit, so
+// that all VMs together stay near the limit however they are cut off from each other.
 package ratelimit
 
 import (
@@ -82,8 +83,9 @@
 // endpoint is what this VM knows about the limit of one endpoint.
 type endpoint struct {
 	stated statement
-	// blockedUntil is until when no request is sent to the endpoint from this VM.
-	blockedUntil time.Time
+	// blockedUntil is until when no request is sent from this VM to the incarnation blockedStarted of the endpoint.
+	blockedUntil   time.Time
+	blockedStarted int64
 	// homeLost says that the last call to the home failed. The home is not called again before homeBackoffUntil.
 	homeLost         bool
 	homeBackoffUntil time.Time
@@ -95,9 +97,9 @@
 
 	bucket bucket
 	// granted counts the granted requests, reports those that other VMs have sent without asking, by VM.
-	granted counts
-	reports map[string]counts
-	told    map[string]told // by VM
+	granted   counts
+	reports   map[string]counts
+	announced map[string]announced // by VM
 }
 
 // New returns a Limiter that knows of no limits. Its calls to other VMs end when ctx ends.
@@ -109,9 +111,9 @@
 	}
 }
 
-// Run tells other VMs of limits and discards what is outdated until ctx ends.
+// Run announces limits to other VMs and discards what is outdated until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
-	ticker := time.NewTicker(tellInterval)
+	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -121,7 +123,7 @@
 			l.sweep(time.Now())
 		case <-l.wake:
 		}
-		l.tellAll()
+		l.announceAll()
 	}
 }
 
@@ -147,7 +149,7 @@
 	changed := l.learn(id.ID, s, sourceResponse)
 	l.mu.Unlock()
 	if changed {
-		go l.tellHome(id.ID, s)
+		go l.reportToHome(id.ID, s)
 	}
 }
 
@@ -184,7 +186,7 @@
 	return true
 }
 
-// signal makes Run check at once which VMs have to be told of limits.
+// signal makes Run check at once to which VMs limits have to be announced.
 func (l *Limiter) signal() {
 	select {
 	case l.wake <- struct{}{}:
@@ -192,8 +194,8 @@
 	}
 }
 
-// tellHome tells the home of an endpoint what a response to this VM has stated.
-func (l *Limiter) tellHome(id string, s statement) {
+// reportToHome reports to the home of an endpoint what a response to this VM has stated.
+func (l *Limiter) reportToHome(id string, s statement) {
 	holder, known := l.cfg.Leases.HolderOf(l.cfg.LeaseOf(id))
 	if !known || holder.VM == l.cfg.Self {
 		return
@@ -202,12 +204,12 @@
 	defer cancel()
 	now := time.Now()
 	l.mu.Lock()
-	args := &TellArgs{VM: l.cfg.Self, Stated: s.message(id, now), Recent: l.endpoint(id).unasked.recent(now)}
+	args := &AnnounceArgs{VM: l.cfg.Self, Stated: s.message(id, now), Recent: l.endpoint(id).unasked.recent(now)}
 	l.mu.Unlock()
-	if err := l.cfg.PeerClient.Call(ctx, holder.Address, tellMethod, args, &TellReply{}); err != nil {
+	if err := l.cfg.PeerClient.Call(ctx, holder.Address, announceMethod, args, &AnnounceReply{}); err != nil {
 		// The home learns of a limit when it is next asked, and of its end from a response to another VM.
-		l.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_limit_not_told", "endpoint": id, "vm_told": holder.VM}).
-			Info("home of endpoint could not be told of a change of its rate limit")
+		l.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_limit_not_announced", "endpoint": id, "home": holder.VM}).
+			Info("a change of the rate limit of an endpoint could not be reported to its home")
 	}
 }
 
--- a/pkg/ratelimit/message.go
+++ b/pkg/ratelimit/message.go
@@ -10,8 +10,8 @@
 
 // RPC methods of the service.
 const (
-	takeMethod = ServiceName + ".Take"
-	tellMethod = ServiceName + ".Tell"
+	takeMethod     = ServiceName + ".Take"
+	announceMethod = ServiceName + ".Announce"
 )
 
 // Stated is what an endpoint has stated about its limit, as one VM sends it to another.
@@ -51,18 +51,18 @@
 	Stated Stated
 }
 
-// TellArgs tells a VM what an endpoint has stated.
-type TellArgs struct {
-	// VM is the VM that tells.
+// AnnounceArgs passes on what an endpoint has stated.
+type AnnounceArgs struct {
+	// VM is the VM that has sent this.
 	VM     string
 	Stated Stated
 	// Recent is that of TakeArgs.
 	Recent []int
 }
 
-// TellReply is the reply to TellArgs.
-type TellReply struct {
-	// Recent is that of TakeArgs, of the VM that was told.
+// AnnounceReply is the reply to AnnounceArgs.
+type AnnounceReply struct {
+	// Recent is that of TakeArgs, of the VM that was called.
 	Recent []int
 }
 
--- a/pkg/ratelimit/take.go
+++ b/pkg/ratelimit/take.go
@@ -51,11 +51,11 @@
 
 // BlockedUntil returns until when this VM must not send requests to an endpoint; zero if it may, as far as is known
 // without asking the home.
-func (l *Limiter) BlockedUntil(endpoint string, now time.Time) time.Time {
+func (l *Limiter) BlockedUntil(id roster.Incarnation, now time.Time) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.endpoints[endpoint]
-	if e == nil || !e.blocked(now) {
+	e := l.endpoints[id.ID]
+	if e == nil || !e.blocked(id.Started, now) {
 		return time.Time{}
 	}
 	return e.blockedUntil
@@ -67,13 +67,13 @@
 	defer l.mu.Unlock()
 	return slices.DeleteFunc(list, func(e roster.Endpoint) bool {
 		known := l.endpoints[e.ID]
-		return known != nil && known.blocked(now)
+		return known != nil && known.blocked(e.Started, now)
 	})
 }
 
-// blocked reports whether no request may be sent to the endpoint now.
-func (e *endpoint) blocked(now time.Time) bool {
-	return e.stated.limited() && now.Before(e.blockedUntil)
+// blocked reports whether no request may be sent to an incarnation of the endpoint now.
+func (e *endpoint) blocked(started int64, now time.Time) bool {
+	return e.stated.limited() && started <= e.blockedStarted && now.Before(e.blockedUntil)
 }
 
 // Take asks whether a request may be sent to an endpoint now. It calls the home of the endpoint if that states a limit.
@@ -87,32 +87,32 @@
 		l.mu.Unlock()
 		return Decision{Granted: true}
 	}
-	known, blocked, ask := e.stated, e.blockedUntil.Sub(now), !now.Before(e.homeBackoffUntil)
+	known, ask := e.stated, !now.Before(e.homeBackoffUntil)
+	blocked, until := e.blocked(id.Started, now), e.blockedUntil
 	recent := e.unasked.recent(now)
 	l.mu.Unlock()
 	d := Decision{Limit: known.rate, Started: known.started, Age: now.Sub(known.received)}
-	if blocked > 0 {
-		d.By, d.RetryAfter = ByBlocked, blocked
+	if blocked {
+		d.By, d.RetryAfter = ByBlocked, until.Sub(now)
 		return d
 	}
 	if ask && l.askHome(id, known, recent, &d) {
-		return l.decided(id.ID, d)
+		return l.decided(id, d)
 	}
 	l.useShare(id.ID, &d)
-	return l.decided(id.ID, d)
+	return l.decided(id, d)
 }
 
 // decided records that a request was refused, if it was.
-func (l *Limiter) decided(id string, d Decision) Decision {
+func (l *Limiter) decided(id roster.Incarnation, d Decision) Decision {
 	if d.Granted {
 		return d
 	}
 	l.withheld.Inc(1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.endpoints[id]; e != nil {
-		e.blockedUntil = time.Now().Add(d.RetryAfter)
-	}
+	e := l.endpoint(id.ID)
+	e.blockedStarted, e.blockedUntil = id.Started, time.Now().Add(d.RetryAfter)
 	return d
 }
 
--- a/test/soak/limits_test.go
+++ b/test/soak/limits_test.go
@@ -48,7 +48,7 @@
 // checkRequestLimit checks the requests that an endpoint got while it stated a limit, with those before, in order. first is
 // the index of the first one with the limit.
 func (f *findings) checkRequestLimit(endpoint string, list []arrival, first int) {
-	told, from := limitTold(list[first:]), list[first].At.Add(contactTime)
+	passedOn, from := limitPassedOn(list[first:]), list[first].At.Add(contactTime)
 	for i, end := range list {
 		if end.At.Before(from) {
 			continue
@@ -60,7 +60,7 @@
 				continue
 			}
 			limit = max(limit, a.Limit)
-			at, known := told[a.attempt.vm]
+			at, known := passedOn[a.attempt.vm]
 			if known && end.At.After(at.Add(limitNotice)) && !f.w.faults.struck(a.attempt.vm, begin.Add(-contactTime), end.At) {
 				count++
 			}
@@ -73,15 +73,15 @@
 	}
 }
 
-// limitTold maps each VM to when it has passed on the first response in which an endpoint stated a limit.
-func limitTold(arrivals []arrival) map[*vm]time.Time {
-	told := map[*vm]time.Time{}
+// limitPassedOn maps each VM to when it has passed on the first response in which an endpoint stated a limit.
+func limitPassedOn(arrivals []arrival) map[*vm]time.Time {
+	passedOn := map[*vm]time.Time{}
 	for _, a := range arrivals {
-		if at, known := told[a.attempt.vm]; a.attempt.ok() && (!known || a.attempt.ended.Before(at)) {
-			told[a.attempt.vm] = a.attempt.ended
+		if at, known := passedOn[a.attempt.vm]; a.attempt.ok() && (!known || a.attempt.ended.Before(at)) {
+			passedOn[a.attempt.vm] = a.attempt.ended
 		}
 	}
-	return told
+	return passedOn
 }
 
 // An endpoint that states how many requests a second it accepts must not get more than that from all VMs together,
