Announce a limit again that begins anew; skip VMs that do not respond

Cause: the home kept what it had announced when a limit ended, so a limit that began again was not announced, and the requests sent in between were not reported. Calls to VMs that do not respond held up announcements to others (150 ms each, 16 at a time). Change: the end of a limit clears what was announced; VMs silent for over 2 s get limits once they respond again.

--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -375,6 +375,40 @@
 	})
 }
 
+// A limit that begins again after it had ended is announced again, and what was sent in between counts.
+func TestLimitThatBeginsAgain(t *testing.T) {
+	inFleet(t, 80, func(f *fleet) {
+		for range 3 {
+			f.state(10)
+			begun := time.Now()
+			f.run(2*time.Second, 12*time.Second)
+			f.requireWithin(begun.Add(contactTime-allowedWindow), 10)
+			f.set(func() { f.limit = nil })
+			f.run(2*time.Second, 12*time.Second)
+			for _, v := range f.vms {
+				require.Nil(t, v.limiter.State("e").Limit)
+			}
+		}
+		f.state(10)
+		f.vms[1].limiter.Observe(f.endpoint, dialect.ResponseInfo{HasRateLimit: true, RateLimit: 10}, time.Now())
+		time.Sleep(time.Second)
+		for _, v := range f.vms {
+			require.NotNil(t, v.limiter.State("e").Limit)
+		}
+	})
+}
+
+// A limit is not announced to VMs that do not respond: the calls would hold up those to others.
+func TestLimitIsNotAnnouncedToUnresponsiveVMs(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		l := f.vms[0].limiter
+		l.Observe(f.endpoint, dialect.ResponseInfo{HasRateLimit: true, RateLimit: 3}, time.Now())
+		require.NotNil(t, l.announcement("e", membership.Member{ID: "vm-9", SilentFor: time.Second}))
+		require.Nil(t, l.announcement("e", membership.Member{ID: "vm-9", SilentFor: 10 * time.Second}))
+		require.Nil(t, l.announcement("e", membership.Member{ID: "vm-9", Gone: true}))
+	})
+}
+
 // A limit that falls binds all VMs, and one that rises is used.
 func TestChangedLimitIsFollowed(t *testing.T) {
 	inFleet(t, 7, func(f *fleet) {
--- a/pkg/ratelimit/home.go
+++ b/pkg/ratelimit/home.go
@@ -19,6 +19,9 @@
 	// announceTolerance is the share of a limit that VMs know down to which a fall of the limit is not announced:
 	// it matters only to those that cannot reach the home.
 	announceTolerance = 0.8
+	// maxSilence is how long a VM may have been silent for limits to be announced to it. It gets them once it responds
+	// again.
+	maxSilence = 2 * time.Second
 )
 
 // errMalformed says that a message of another VM has fields out of range.
@@ -192,7 +195,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoints[id]
-	if e == nil || !e.stated.limited() || m.ID == l.cfg.Self || m.Gone {
+	if e == nil || !e.stated.limited() || m.ID == l.cfg.Self || m.Gone || m.SilentFor > maxSilence {
 		return nil
 	}
 	if last, ok := e.announced[m.ID]; ok && last.enough(m.Incarnation, e.stated.rate) {
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -177,6 +177,9 @@
 	if s.rate > before.rate {
 		e.blockedUntil = time.Time{}
 	}
+	if !s.limited() {
+		clear(e.announced)
+	}
 	l.changes.Inc(1)
 	l.cfg.Log.WithFields(logrus.Fields{
 		"event": "endpoint_limit", "endpoint": id, "started": s.started, "limit": s.rate, "before": before.rate, "source": source,
