--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -133,7 +133,11 @@
 		<-ctx.Done()
 		return errCut
 	}
-	time.Sleep(callDelay)
+	select {
+	case <-time.After(callDelay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	switch a := args.(type) {
 	case *TakeArgs:
 		require.Equal(v.f.t, takeMethod, method)
