The store's generations: versions and positions of a store that returns from an older copy

Its versions go back and are assigned again, and all its responses say by a number how often that has happened. The client did not read the number: a mirror whose position was assigned again missed rows that had gone, conditions on lost versions could hold, late responses counted.

--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"github.com/mallowlink/mallowlink/pkg/bundle"
@@ -47,7 +48,7 @@
 }
 
 // Connect returns clients of the platform's services at the addresses in the settings.
-type Connect func(s Settings, registry metrics.Registry) Platform
+type Connect func(s Settings, registry metrics.Registry, log logrus.FieldLogger) Platform
 
 // Daemon is the gateway process.
 type Daemon struct {
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -60,8 +60,8 @@
 	return log, log.WithField("vm", s.VM), nil
 }
 
-func newPlatform(s Settings, connect Connect, registry metrics.Registry) Platform {
-	return connect(s, registry)
+func newPlatform(s Settings, connect Connect, registry metrics.Registry, log logrus.FieldLogger) Platform {
+	return connect(s, registry, log)
 }
 
 // background is the context of work that runs as long as the process.
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -28,7 +28,8 @@
 // Row is one row of the table service.
 type Row struct {
 	Key string
-	// Version increases with every write of any row of the table. It is never reused.
+	// Version increases with every write of any row of the table, and with the generation of the service. It is never
+	// reused. See VersionIn.
 	Version uint64
 	// Attempt is the Txn.Attempt of the transaction that wrote this version.
 	Attempt string
@@ -65,7 +66,8 @@
 	// List returns the rows whose keys begin with prefix, in key order.
 	List(ctx context.Context, prefix string) ([]Row, error)
 	// Commit applies txn atomically and returns the version assigned to the rows that it wrote.
-	// It fails with ErrConflict, ErrUnavailable or ErrUnknown.
+	// It fails with ErrConflict, ErrUnavailable or ErrUnknown. Conditions on versions of an earlier generation do
+	// not hold.
 	Commit(ctx context.Context, txn Txn) (uint64, error)
 }
 
@@ -111,6 +113,6 @@
 	Snapshot(ctx context.Context) ([]Row, uint64, error)
 	// Changes returns the changes after a position and the position from which to continue. If there
 	// are none, Changes waits for one, for at most the duration wait. Changes fails with ErrCompacted
-	// or ErrUnavailable.
+	// or ErrUnavailable. A position of an earlier generation is compacted.
 	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
 }
