Leases across a return of the table from an older copy

Cause: after a return the rows name holders that have handed over and lack claims and sessions of VMs that still use them. A VM that listed them claimed at once what a copy offered, with a fencing number that had been given before; sessions brought back counted as renewed; a holder lost its lease because its own row was older than it had written.

A VM that lists a new generation drops what the rows do not confirm and keeps what they do. Nobody claims before the generation has settled: all VMs that were known have listed it, or the longest session has passed. Session rows say which generation has settled, so that a VM that starts in the gap waits too. Fencing numbers begin with the generation. Rows brought back are no sign of life. Takeovers without the table wait until it has settled. A VM without peers goes on without the table only if its session is older than a copy may be.

--- a/pkg/bundle/rollout/fakes_test.go
+++ b/pkg/bundle/rollout/fakes_test.go
@@ -259,3 +259,6 @@
 	value, _ := json.Marshal(p)
 	return platform.Row{Key: PointerKey, Version: 1, Value: value}
 }
+
+// Generation implements platform.Table. The fake has no generations.
+func (s *fakeStore) Generation() uint64 { return 0 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -146,14 +146,9 @@
 // by membership changes, and the owner and the lease manager notified of a new bundle.
 func connectCallbacks(members *membership.Registry, leases *lease.Manager, follower *rollout.Follower, o *owner.Owner, p *process) {
 	members.SetStatus(func() membership.Status {
-		storeDown, leaseSeen, claims := leases.Status()
-		return membership.Status{
-			Draining:      p.draining.Load(),
-			BundleVersion: follower.Version(),
-			StoreDown:     storeDown,
-			LeaseSeen:     leaseSeen,
-			Claims:        claims,
-		}
+		s := membership.Status{Draining: p.draining.Load(), BundleVersion: follower.Version()}
+		leases.AddStatus(&s)
+		return s
 	})
 	members.OnChange(leases.Wake)
 	follower.OnChange(o.BundleChanged)
--- a/pkg/fleettest/chaos.go
+++ b/pkg/fleettest/chaos.go
@@ -13,6 +13,8 @@
 	fleet  *Fleet
 	rnd    *rand.Rand
 	spares int
+	// Returns makes every third fault an outage of the table from which it returns from an older copy.
+	Returns bool
 	// Trace holds one line for each injected fault, with the time since the start in seconds.
 	Trace   []string
 	started time.Time
@@ -30,6 +32,7 @@
 	maxShortFault    = 5 * time.Second
 	maxLongFault     = 15 * time.Second
 	maxOutage        = 60 * time.Second
+	maxCopyAge       = 10 * time.Second
 	// settlingTime is how long the platform's list of VMs and the leases may need to become
 	// stable again after the last fault has ended.
 	settlingTime = 100 * time.Second
@@ -42,8 +45,12 @@
 		c.pause, c.kill, c.vanish, c.cut, c.isolate, c.loss,
 		c.storeDown, c.storeDownForOne, c.loseReplies, c.delayWrites, c.drain,
 	}
-	for range n {
+	for i := range n {
 		time.Sleep(c.randomDuration(minDelay, maxFaultInterval))
+		if c.Returns && i%3 == 0 {
+			c.storeReturns()
+			continue
+		}
 		if v := c.pickRunningVM(); v != nil {
 			faults[c.rnd.Intn(len(faults))](v)
 		}
@@ -144,6 +151,16 @@
 	time.AfterFunc(d, func() { c.fleet.Table.SetDown(false) })
 }
 
+func (c *Chaos) storeReturns() {
+	d, age := c.randomDuration(0, maxShortFault), c.randomDuration(0, maxCopyAge)
+	c.record("store down for %v, returns from a copy %v older", d, age)
+	c.fleet.Table.SetDown(true)
+	time.AfterFunc(d, func() {
+		c.fleet.Table.Return(d + age)
+		c.fleet.Table.SetDown(false)
+	})
+}
+
 func (c *Chaos) storeDownForOne(v *VM) {
 	c.tableFaults(v, TableFaults{Down: true}, maxLongFault, "store down for %s for %v")
 }
--- a/pkg/fleettest/fleet.go
+++ b/pkg/fleettest/fleet.go
@@ -235,7 +235,7 @@
 func (f *Fleet) listen(v *VM, extra map[string]any) {
 	v.Registry.SetStatus(func() membership.Status {
 		var s membership.Status
-		s.StoreDown, s.LeaseSeen, s.Claims = v.Manager.Status()
+		v.Manager.AddStatus(&s)
 		return s
 	})
 	v.Registry.OnChange(v.Manager.Wake)
--- a/pkg/fleettest/table.go
+++ b/pkg/fleettest/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand"
 	"sort"
 	"strings"
@@ -14,16 +15,20 @@
 	"github.com/mallowlink/mallowlink/pkg/platform"
 )
 
-// Table is a linearizable in-memory fake of the platform's table service.
+// Table is a linearizable in-memory fake of the platform's table service. The versions of its rows are the service's own
+// counter; its clients add the generation.
 type Table struct {
-	mu      sync.Mutex
-	rows    map[string]platform.Row
-	version uint64
-	reads   int
-	writes  int
-	rnd     *rand.Rand
-	faults  map[string]TableFaults // by VM
-	down    bool
+	mu         sync.Mutex
+	rows       map[string]platform.Row
+	version    uint64
+	generation uint64
+	// copies are the states after the latest commits, oldest first.
+	copies []tableCopy
+	reads  int
+	writes int
+	rnd    *rand.Rand
+	faults map[string]TableFaults // by VM
+	down   bool
 }
 
 // TableFaults are the faults of one VM's calls to the table.
@@ -42,8 +47,17 @@
 const (
 	tableLatency  = time.Millisecond
 	maxWriteDelay = 6 * time.Second
+	// copyRetention is the maximum age of the state from which the table can return.
+	copyRetention = 20 * time.Second
 )
 
+// tableCopy is the state of a table from a commit on.
+type tableCopy struct {
+	at      time.Time
+	rows    map[string]platform.Row
+	version uint64
+}
+
 // NewTable returns an empty table whose random faults depend on the seed.
 func NewTable(seed int64) *Table {
 	return &Table{
@@ -60,6 +74,34 @@
 	t.down = down
 }
 
+// Return makes the table return from a copy of the given age: all later commits are lost, their versions are assigned again,
+// and a new generation of the service begins.
+func (t *Table) Return(age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := tableCopy{}
+	for _, c := range t.copies {
+		if !c.at.After(time.Now().Add(-age)) {
+			state = c
+		}
+	}
+	t.rows, t.version = maps.Clone(state.rows), state.version
+	if t.rows == nil {
+		t.rows = map[string]platform.Row{}
+	}
+	t.copies = []tableCopy{state}
+	t.generation++
+}
+
+// saveCopy saves the state after a commit. t.mu is held.
+func (t *Table) saveCopy() {
+	now := time.Now()
+	for len(t.copies) > 1 && now.Sub(t.copies[1].at) > copyRetention {
+		t.copies = t.copies[1:]
+	}
+	t.copies = append(t.copies, tableCopy{at: now, rows: maps.Clone(t.rows), version: t.version})
+}
+
 // SetFaults replaces the faults of one VM's calls.
 func (t *Table) SetFaults(vm string, faults TableFaults) {
 	t.mu.Lock()
@@ -85,6 +127,26 @@
 	table *Table
 	vm    string
 	gate  *Gate
+
+	mu sync.Mutex
+	// generation is the highest generation of any response so far, guarded by mu.
+	generation uint64
+}
+
+// observe records the generation of a response, and reports whether the response is outdated.
+func (c *tableClient) observe(generation uint64) (outdated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	outdated = generation < c.generation
+	c.generation = max(c.generation, generation)
+	return outdated
+}
+
+// Generation implements platform.Table.
+func (c *tableClient) Generation() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.generation
 }
 
 // callOutcome holds the faults that apply to one call.
@@ -132,17 +194,29 @@
 		return nil, platform.ErrUnavailable
 	}
 	time.Sleep(f.latency)
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	c.table.reads++
+	rows, generation := c.table.matching(match)
+	// The VM may be paused before it handles the response.
+	c.gate.Pass()
+	if c.observe(generation) {
+		return nil, platform.ErrUnavailable
+	}
+	return rows, ctx.Err()
+}
+
+// matching returns the rows whose keys match, with versions of the current generation, and that generation.
+func (t *Table) matching(match func(string) bool) ([]platform.Row, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
 	var rows []platform.Row
-	for key, row := range c.table.rows {
+	for key, row := range t.rows {
 		if match(key) {
+			row.Version = platform.VersionIn(t.generation, row.Version)
 			rows = append(rows, row)
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	return rows, ctx.Err()
+	return rows, t.generation
 }
 
 // Commit applies txn, unless a fault prevents or delays that. If the reply is lost or the commit
@@ -152,6 +226,13 @@
 	defer c.gate.Pass()
 	time.Sleep(tableLatency)
 	f := c.table.drawOutcome(c.vm)
+	expected, versioned := c.Generation(), false
+	for _, cond := range txn.Conditions {
+		if cond.Version != 0 && platform.GenerationOf(cond.Version) != expected {
+			return 0, platform.ErrConflict
+		}
+		versioned = versioned || cond.Version != 0
+	}
 	time.Sleep(f.latency)
 	switch {
 	case f.down:
@@ -165,16 +246,23 @@
 		<-ctx.Done()
 		return 0, platform.ErrUnknown
 	}
-	return c.table.apply(txn)
+	version, err := c.table.apply(txn)
+	c.gate.Pass()
+	outdated := c.observe(platform.GenerationOf(version))
+	if outdated || err == nil && versioned && platform.GenerationOf(version) != expected {
+		return 0, platform.ErrUnknown
+	}
+	return version, err
 }
 
+// apply applies txn if its conditions hold, and returns the newest version.
 func (t *Table) apply(txn platform.Txn) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.writes++
 	for _, cond := range txn.Conditions {
-		if t.rows[cond.Key].Version != cond.Version {
-			return 0, platform.ErrConflict
+		if t.rows[cond.Key].Version != platform.CounterOf(cond.Version) {
+			return platform.VersionIn(t.generation, t.version), platform.ErrConflict
 		}
 	}
 	t.version++
@@ -185,5 +273,6 @@
 		}
 		t.rows[w.Key] = platform.Row{Key: w.Key, Version: t.version, Attempt: txn.Attempt, Value: w.Value}
 	}
-	return t.version, nil
+	t.saveCopy()
+	return platform.VersionIn(t.generation, t.version), nil
 }
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -450,14 +450,9 @@
 	coord.leaseListeners.listeners = []lease.Listener{o, a.home}
 	coord.leaseListeners.note = a.home.Note
 	coord.members.SetStatus(func() membership.Status {
-		storeDown, leaseSeen, claims := coord.leases.Status()
-		return membership.Status{
-			Draining:      p.draining.Load(),
-			BundleVersion: view.configVersion(),
-			StoreDown:     storeDown,
-			LeaseSeen:     leaseSeen,
-			Claims:        claims,
-		}
+		s := membership.Status{Draining: p.draining.Load(), BundleVersion: view.configVersion()}
+		coord.leases.AddStatus(&s)
+		return s
 	})
 	coord.members.OnChange(coord.leases.Wake)
 	view.onChange = func() {
--- a/pkg/lease/guard.go
+++ b/pkg/lease/guard.go
@@ -48,11 +48,12 @@
 // returns the send time of the oldest of the heartbeats that the peers answered with this report: after that
 // time all of them have reported it. m.mu is held.
 func (m *Manager) tableDownForAll(now time.Time) (time.Time, bool) {
-	if !m.upSince.IsZero() || !m.listed {
+	peers := m.peers()
+	if !m.upSince.IsZero() || !m.listed || len(peers) == 0 && m.mayBeForgotten(now) {
 		return time.Time{}, false
 	}
 	earliest := now
-	for _, s := range m.peers() {
+	for _, s := range peers {
 		answer, ok := m.fleet.LastReply(s.VM, s.Incarnation)
 		if !ok || !answer.Beat.Status.StoreDown {
 			return time.Time{}, false
@@ -64,6 +65,13 @@
 	return earliest, clock.Elapsed(earliest, now) < m.cfg.Duration
 }
 
+// maxCopyAge is the age that the copy from which the table returns is assumed not to exceed.
+const maxCopyAge = 30 * time.Second
+
+// mayBeForgotten reports whether the table may return from a copy without this VM's session. Other VMs could then claim its
+// leases without asking it. m.mu is held.
+func (m *Manager) mayBeForgotten(now time.Time) bool { return now.Sub(m.own.createdAt) < maxCopyAge }
+
 // extend moves the start of validity of the rights that have not lapsed to from, and likewise the time up to
 // which the rows are known to be current. What has lapsed stays lapsed. m.mu is held.
 func (m *Manager) extend(from, now time.Time) {
@@ -113,9 +121,10 @@
 
 // takeOver takes leases over provisionally while the table is down for all VMs: those whose rows still name this VM
 // although it has given up or lost its right, and those whose holder has handed over or is proven gone and for which this VM is the first
-// successor that is not proven gone. m.mu is held.
+// successor that is not proven gone. Until the generation of the table has settled, the rows may lack claims, and none is
+// taken over. m.mu is held.
 func (m *Manager) takeOver(now time.Time) {
-	if m.draining || m.leaseRowsStale() || clock.Elapsed(m.rowsCurrentAt, now) >= m.cfg.Duration {
+	if m.draining || !m.settled() || m.leaseRowsStale() || clock.Elapsed(m.rowsCurrentAt, now) >= m.cfg.Duration {
 		return
 	}
 	for name, l := range m.leases {
@@ -185,8 +194,8 @@
 
 // takeProvisionally gives this VM a provisional right to the lease, valid from the given time on. m.mu is held.
 func (m *Manager) takeProvisionally(name string, l lease, rank int, from time.Time) {
-	fencing := provisionalFencing(l.Fencing, rank)
-	if fencing >= nextFencing(l.Fencing) || fencing <= m.highestClaim(name, true) {
+	fencing := provisionalFencing(l.Fencing, m.generation, rank)
+	if fencing >= nextFencing(l.Fencing, m.generation) || fencing <= m.highestClaim(name, true) {
 		m.log.WithFields(logrus.Fields{"event": "provisional_number_too_low", "lease": name}).Error("cannot take the lease over: another VM claims a fencing number as high, or none is left for this rank")
 		return
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -24,7 +24,7 @@
 	Name string
 	// Fencing increases with every change of holder.
 	Fencing uint64
-	// NeverHeldBefore says that no VM has held the lease before.
+	// NeverHeldBefore says that no VM has held the lease before. It is false if the table service may have lost a claim.
 	NeverHeldBefore bool
 	// PreviousProvenGone says that every earlier holder has handed over or is proven gone, so that none
 	// of their orders can still arrive.
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -130,6 +130,13 @@
 	// rowsCurrentAt is the time up to which sessions and leases are known to be current: when the listing was
 	// requested, or later if all peers have reported since that the table was down for them too.
 	rowsCurrentAt time.Time
+	// generation is the generation of the table service that was listed last, settledGeneration the highest one that is
+	// known to have settled. See generation.go.
+	generation, settledGeneration uint64
+	// formerSessions are the sessions listed in earlier generations that have not settled, by VM; they are complete if
+	// formerComplete is set.
+	formerSessions map[string]session
+	formerComplete bool
 	// sessionVersionSeen and leaseVersionSeen are the highest table versions of the session and lease rows listed.
 	sessionVersionSeen, leaseVersionSeen uint64
 	// rights are this VM's rights by lease name.
@@ -161,6 +168,8 @@
 	counter uint64
 	// created is the row version at which this VM's session began; 0 before that.
 	created uint64
+	// createdAt is when this VM learned that its session had begun.
+	createdAt time.Time
 	// validFrom is the time from which Duration counts.
 	validFrom time.Time
 	// unresolved maps the write attempts whose outcome is unknown to the time at which they were sent.
@@ -190,6 +199,7 @@
 		wake:            make(chan struct{}, 1),
 		own:             ownSession{unresolved: map[string]time.Time{}},
 		sessions:        map[string]session{},
+		formerSessions:  map[string]session{},
 		leases:          map[string]lease{},
 		rights:          map[string]*right{},
 		claimableSince:  map[string]time.Time{},
@@ -329,22 +339,21 @@
 	return false
 }
 
-// Status returns the data on the store and the leases that heartbeats carry: whether the table is down for this
-// VM, the highest version of a lease row that it has listed, and its claims.
-func (m *Manager) Status() (storeDown bool, leaseSeen uint64, claims []membership.Claim) {
+// AddStatus sets the fields on the store and the leases in the status that heartbeats carry.
+func (m *Manager) AddStatus(s *membership.Status) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	s.StoreDown, s.LeaseSeen, s.StoreGeneration = m.upSince.IsZero(), m.leaseVersionSeen, m.generation
 	for name, l := range m.leases {
 		if m.mine(l) {
-			claims = append(claims, membership.Claim{Name: name, Fencing: l.Fencing})
+			s.Claims = append(s.Claims, membership.Claim{Name: name, Fencing: l.Fencing})
 		}
 	}
 	for name, r := range m.rights {
 		if r.lifecycle.State() == stateProvisional {
-			claims = append(claims, membership.Claim{Name: name, Fencing: r.grant.Fencing})
+			s.Claims = append(s.Claims, membership.Claim{Name: name, Fencing: r.grant.Fencing})
 		}
 	}
-	return m.upSince.IsZero(), m.leaseVersionSeen, claims
 }
 
 // gain moves a right to the state to which event leads, and notifies the listener. m.mu is held.
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -35,14 +35,16 @@
 	state, note []byte
 	// target is the VM to which a released lease is handed over.
 	target membership.Member
+	// generation is the generation of the table service, replacedFencing the fencing number that the row had.
+	generation, replacedFencing uint64
 }
 
 func (c rowChange) grant() Grant {
 	return Grant{
 		Name:               c.name,
 		Fencing:            c.row.Fencing,
-		NeverHeldBefore:    c.version == 0,
-		PreviousProvenGone: len(c.row.LingeringHolders) == 0,
+		NeverHeldBefore:    c.version == 0 && c.generation == 0,
+		PreviousProvenGone: len(c.row.LingeringHolders) == 0 && claimedInGeneration(c.replacedFencing, c.generation),
 		State:              c.state,
 		Note:               c.note,
 		Recent:             c.row.Recent,
@@ -148,6 +150,7 @@
 		Duration:           m.cfg.Duration,
 		Capacity:           m.cfg.Capacity,
 		SessionVersionSeen: m.sessionVersionSeen,
+		SettledGeneration:  m.settledGeneration,
 		Draining:           m.draining,
 		CanClaim:           m.own.created != 0 && !m.draining && m.claimWindowOpen(now) && len(m.unawareVMs()) == 0,
 	}
@@ -261,7 +264,10 @@
 
 // planClaim adds one claim. m.mu is held.
 func (m *Manager) planClaim(p *plan, name string, l lease, live []membership.Member) {
-	c := rowChange{name: name, row: m.newRow(name, nextFencing(l.Fencing), live), version: l.version}
+	c := rowChange{
+		name: name, row: m.newRow(name, nextFencing(l.Fencing, m.generation), live), version: l.version,
+		generation: m.generation, replacedFencing: l.Fencing,
+	}
 	c.row.LingeringHolders = m.lingeringHolders(l)
 	c.row.Recent = l.recentHolders()
 	c.note = m.notes[name]
--- /dev/null
+++ b/pkg/lease/return_test.go
@@ -0,0 +1,205 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/fleettest"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+)
+
+// outage is how long the table is away before it returns from an older copy.
+const outage = 500 * time.Millisecond
+
+// returnFrom makes the table fail for the outage and return from its state of the given time.
+func (f *fleet) returnFrom(at time.Time) {
+	f.Table.SetDown(true)
+	time.Sleep(outage)
+	f.Table.Return(time.Since(at))
+	f.Table.SetDown(false)
+}
+
+// requireOneHolder requires that no lease ever has two holders within a time.
+func (f *fleet) requireOneHolder(name string, within time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		require.LessOrEqual(f.t, len(f.Holders(name)), 1)
+	}
+}
+
+// fencing returns the highest fencing number that any VM has been granted.
+func (f *fleet) fencing(name string) uint64 {
+	highest := uint64(0)
+	for _, v := range f.VMs() {
+		for _, grant := range v.Gains() {
+			if grant.Name == name {
+				highest = max(highest, grant.Fencing)
+			}
+		}
+	}
+	return highest
+}
+
+// A holder whose claim is older than the copy keeps its lease, without a break.
+func TestHolderKeepsItsLeaseAcrossAReturn(t *testing.T) {
+	runFleet(t, 1, 7, []string{lease.Budget, "group/a"}, func(f *fleet) {
+		first := f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(30 * time.Second)
+		f.returnFrom(time.Now().Add(-5 * time.Second))
+		for range 400 {
+			time.Sleep(50 * time.Millisecond)
+			require.Equal(f.t, []*fleettest.VM{first}, f.Holders(lease.Budget))
+		}
+	})
+}
+
+// A holder whose claim the copy does not have, and the holder that the copy names, never hold the lease together, and no
+// fencing number is granted twice or is lower than one before.
+func TestClaimThatTheCopyDoesNotHave(t *testing.T) {
+	for name, drained := range map[string]bool{"previous holder lives": false, "previous holder stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 2, 7, []string{lease.Budget}, func(f *fleet) {
+				first := f.holder(lease.Budget, 2*takeoverLimit)
+				time.Sleep(30 * time.Second)
+				before := time.Now()
+				time.Sleep(50 * time.Millisecond)
+				if drained {
+					f.Kill(first)
+				} else {
+					first.Gate.Close()
+				}
+				second := f.holder(lease.Budget, 2*takeoverLimit)
+				for len(f.Holders(lease.Budget)) != 1 || f.Holders(lease.Budget)[0] == first {
+					time.Sleep(10 * time.Millisecond)
+					second = f.holder(lease.Budget, 2*takeoverLimit)
+				}
+				lost := f.fencing(lease.Budget)
+				require.NotEqual(f.t, first, second)
+				first.Gate.Open()
+				f.returnFrom(before)
+				f.requireOneHolder(lease.Budget, 10*time.Second)
+				last := f.holder(lease.Budget, takeoverLimit)
+				grant, _ := last.Manager.Held(lease.Budget)
+				require.Greater(f.t, grant.Fencing, lost)
+			})
+		})
+	}
+}
+
+// A VM that starts after the return does not know of holders whose sessions the copy does not have. It claims nothing while
+// their rights may last.
+func TestVMThatStartsAfterAReturnWaits(t *testing.T) {
+	runFleet(t, 3, 3, []string{lease.Budget}, func(f *fleet) {
+		first := f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(30 * time.Second)
+		before := time.Now()
+		f.Kill(first)
+		second := f.Start(first.ID)
+		require.Equal(f.t, second, f.holder(lease.Budget, 2*takeoverLimit))
+		lost := f.fencing(lease.Budget)
+		// The holder renews once more, and no longer reaches the table.
+		time.Sleep(time.Second)
+		f.Table.SetFaults(second.ID, fleettest.TableFaults{Down: true})
+		f.returnFrom(before)
+		for i := range 3 {
+			f.Start(fmt.Sprintf("new%d", i))
+		}
+		f.requireOneHolder(lease.Budget, 10*time.Second)
+		last := f.holder(lease.Budget, 0)
+		grant, _ := last.Manager.Held(lease.Budget)
+		require.NotEqual(f.t, second, last)
+		require.Greater(f.t, grant.Fencing, lost)
+	})
+}
+
+// A VM whose session the copy does not have begins a new one, and leases move on as usual.
+func TestSessionThatTheCopyDoesNotHave(t *testing.T) {
+	runFleet(t, 4, 3, []string{lease.Budget}, func(f *fleet) {
+		f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(30 * time.Second)
+		before := time.Now()
+		time.Sleep(time.Second)
+		late := f.Start("late")
+		f.Publish()
+		time.Sleep(3 * time.Second)
+		f.returnFrom(before)
+		time.Sleep(5 * time.Second)
+		for _, v := range f.VMs() {
+			if v != late {
+				f.Kill(v)
+			}
+		}
+		require.Equal(f.t, late, f.holder(lease.Budget, 2*takeoverLimit))
+	})
+}
+
+// A VM that is dead in truth, and whose session the copy has, is not taken for live because the row has another version.
+func TestReturnIsNoSignOfLife(t *testing.T) {
+	runFleet(t, 5, 3, []string{lease.Budget}, func(f *fleet) {
+		f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(30 * time.Second)
+		gone := f.VMs()[1]
+		f.Vanish(gone)
+		time.Sleep(20 * time.Second)
+		observer := f.VMs()[0]
+		silent := func() time.Duration {
+			for _, m := range observer.Registry.Members() {
+				if m.ID == gone.ID {
+					return m.SilentFor
+				}
+			}
+			return time.Hour
+		}
+		before := silent()
+		f.returnFrom(time.Now().Add(-5 * time.Second))
+		time.Sleep(3 * time.Second)
+		require.Greater(f.t, silent(), before)
+	})
+}
+
+// After a return, the VMs list the table again without a storm of calls.
+func TestReturnCausesFewCalls(t *testing.T) {
+	runFleet(t, 6, 8, []string{lease.Budget, "group/a", "group/b"}, func(f *fleet) {
+		f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(30 * time.Second)
+		f.returnFrom(time.Now().Add(-5 * time.Second))
+		reads, writes := f.Table.Counts()
+		time.Sleep(5 * time.Second)
+		readsAfter, writesAfter := f.Table.Counts()
+		// In five periods each VM reads and writes once a period; conflicts and claims may double that.
+		require.LessOrEqual(f.t, readsAfter-reads, 2*5*8)
+		require.LessOrEqual(f.t, writesAfter-writes, 2*5*8)
+	})
+}
+
+// A VM without peers goes on with its leases while the table is down only if the table cannot return without its session: a
+// VM that starts then would know nothing of it.
+func TestVMWithoutPeersThatTheCopyDoesNotHave(t *testing.T) {
+	runFleet(t, 7, 0, []string{lease.Budget}, func(f *fleet) {
+		before := time.Now()
+		first := f.Start("vm0")
+		f.Publish()
+		f.holder(lease.Budget, 2*takeoverLimit)
+		f.Table.SetFaults(first.ID, fleettest.TableFaults{Down: true})
+		f.returnFrom(before)
+		f.Start("vm1")
+		f.requireOneHolder(lease.Budget, 20*time.Second)
+		require.Len(f.t, f.Holders(lease.Budget), 1)
+	})
+}
+
+// A VM without peers keeps its leases while the table is down for it, once its session is old enough.
+func TestVMWithoutPeersOutlastsAnOutage(t *testing.T) {
+	runFleet(t, 8, 1, []string{lease.Budget}, func(f *fleet) {
+		first := f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(40 * time.Second)
+		f.Table.SetDown(true)
+		for range 30 {
+			time.Sleep(time.Second)
+			require.Equal(f.t, []*fleettest.VM{first}, f.Holders(lease.Budget))
+		}
+	})
+}
--- a/pkg/lease/rows.go
+++ b/pkg/lease/rows.go
@@ -24,6 +24,10 @@
 // maxFencing bounds the fencing numbers in rows, so that the next one can be computed without overflow.
 const maxFencing = 1 << 62
 
+// generationShift is the number of bits below the generation of the table service in a fencing number. So the numbers of a
+// generation are above those of all earlier ones, also of claims that the service has lost.
+const generationShift = 36
+
 // maxSuccessors is the maximum number of successors in a lease row.
 const maxSuccessors = 4
 
@@ -38,6 +42,9 @@
 	// SessionVersionSeen is the highest table version among the session rows that the VM had listed when it
 	// wrote this row.
 	SessionVersionSeen uint64 `json:"seen"`
+	// SettledGeneration is the highest generation of the table service that has settled, as far as the VM knows: no VM
+	// uses a right of an earlier generation any more.
+	SettledGeneration uint64 `json:"settled,omitempty"`
 	// Capacity is the VM's relative capacity for work, compared with other VMs.
 	Capacity float64 `json:"capacity,omitempty"`
 	// CanClaim says that the VM could claim a lease that is handed over to it.
@@ -160,10 +167,19 @@
 	return data
 }
 
-// nextFencing returns the fencing number of the next claim in the table.
-func nextFencing(f uint64) uint64 { return (f/fencingStep + 1) * fencingStep }
+// nextFencing returns the fencing number of the next claim in the table, in the given generation of the table service, if
+// the row has the fencing number f.
+func nextFencing(f, generation uint64) uint64 {
+	return (max(f, generation<<generationShift)/fencingStep + 1) * fencingStep
+}
+
+// claimedInGeneration reports whether a fencing number was given in this generation of the table service, or in a service
+// without generations.
+func claimedInGeneration(f, generation uint64) bool { return f>>generationShift >= generation }
 
 // provisionalFencing returns the fencing number of a takeover without the table. Rank 0 is the holder that
 // the row names; the successors have ranks from 1 on. The number is below that of the next claim in the
 // table, and a successor of a higher rank gets a higher number.
-func provisionalFencing(f uint64, rank int) uint64 { return f + 1 + uint64(rank) }
+func provisionalFencing(f, generation uint64, rank int) uint64 {
+	return max(f, generation<<generationShift) + 1 + uint64(rank)
+}
--- a/pkg/lease/schedules_test.go
+++ b/pkg/lease/schedules_test.go
@@ -230,7 +230,7 @@
 	names := []string{"group/a", "account/x", lease.Budget}
 	for i := range *schedules {
 		seed := *firstSeed + int64(i)
-		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSchedule(t, seed, names) })
+		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSchedule(t, seed, names, false) })
 		if !ok {
 			t.Fatalf("schedule with -first-seed=%d failed", seed)
 		}
@@ -238,7 +238,20 @@
 	t.Logf("%d schedules from seed %d", *schedules, *firstSeed)
 }
 
-func runSchedule(t *testing.T, seed int64, names []string) {
+// The guarantees of TestSchedules also hold if the table returns again and again from copies that are some seconds old, amid other
+// faults.
+func TestSchedulesWithReturnsOfTheTable(t *testing.T) {
+	names := []string{"group/a", "account/x", lease.Budget}
+	for i := range *schedules {
+		seed := *firstSeed + int64(i)
+		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSchedule(t, seed, names, true) })
+		if !ok {
+			t.Fatalf("schedule with -first-seed=%d failed", seed)
+		}
+	}
+}
+
+func runSchedule(t *testing.T, seed int64, names []string, returns bool) {
 	rnd := rand.New(rand.NewSource(seed))
 	e := &engine{owners: map[uint64]string{}}
 	runFleetWith(t, seed, func(f *fleet) {
@@ -252,6 +265,7 @@
 		f.StartAll(3 + rnd.Intn(5))
 		go e.sampleHolders(names)
 		chaos := fleettest.NewChaos(f.Fleet, seed)
+		chaos.Returns = returns
 		chaos.Run(faultsPerSchedule)
 		for _, name := range names {
 			if len(f.Holders(name)) != 1 {
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -102,29 +102,45 @@
 }
 
 // claimWindowOpen reports whether a claim is safe from VMs that extend their leases because their peers report the
-// table as down. Then no VM can hold a lease that way, except leases that it announces as its claims: either the
-// table has responded for long enough, or every VM reports that the table responds to it. m.mu is held.
+// table as down, and from VMs whose claims the table has lost. Then no VM can hold a lease that way, except leases that it
+// announces as its claims: either the table has responded for long enough, or every VM reports that the table responds to
+// it. m.mu is held.
 func (m *Manager) claimWindowOpen(now time.Time) bool {
-	return !m.upSince.IsZero() && (!now.Before(m.claimWindowStart()) || len(m.unconfirmedVMs()) == 0)
+	if m.upSince.IsZero() {
+		return false
+	}
+	return !now.Before(m.claimWindowStart()) || (m.settled() || m.formerComplete) && len(m.unconfirmedVMs()) == 0
 }
 
-// unconfirmedVMs returns the VMs that could hold a lease extended on their peers' reports, and that have not
-// reported, since the table began to respond to this VM, that the table responds to them too. Once they have, none
-// of them can still rely on an earlier report of this VM that the table is down. m.mu is held.
+// unconfirmedVMs returns the VMs that could hold a lease extended on their peers' reports or by a claim that the table
+// has lost, and that have not reported, since the table began to respond to this VM, that the table responds to them too
+// and in the same generation. Once they have, none of them can still rely on an earlier report of this VM that the table
+// is down. m.mu is held.
 func (m *Manager) unconfirmedVMs() []string {
 	var list []string
 	for vm, s := range m.sessions {
-		if vm == m.cfg.ID || s.over() || !s.malformed && m.fleet.Gone(vm, s.Incarnation) {
-			continue
+		if m.unconfirmed(s) {
+			list = append(list, vm)
 		}
-		answer, ok := m.fleet.LastReply(vm, s.Incarnation)
-		if s.malformed || !ok || !answer.Sent.After(m.upSince) || answer.Beat.Status.StoreDown {
+	}
+	for vm, s := range m.formerSessions {
+		if m.sessions[vm].Incarnation != s.Incarnation && m.unconfirmed(s) {
 			list = append(list, vm)
 		}
 	}
 	return list
 }
 
+// unconfirmed reports whether unconfirmedVMs contains the VM of a session. m.mu is held.
+func (m *Manager) unconfirmed(s session) bool {
+	if s.VM == m.cfg.ID || s.over() || !s.malformed && m.fleet.Gone(s.VM, s.Incarnation) {
+		return false
+	}
+	answer, ok := m.fleet.LastReply(s.VM, s.Incarnation)
+	status := answer.Beat.Status
+	return s.malformed || !ok || !answer.Sent.After(m.upSince) || status.StoreDown || status.StoreGeneration != m.generation
+}
+
 // claimWindowStart returns the time from which claimWindowOpen holds without reports of other VMs, zero while the
 // table is down. m.mu is held.
 func (m *Manager) claimWindowStart() time.Time {
@@ -138,8 +154,10 @@
 // their leases for longer on their peers' reports. m.mu is held.
 func (m *Manager) longestDuration() time.Duration {
 	longest := m.cfg.Duration
-	for _, s := range m.sessions {
-		longest = max(longest, s.Duration)
+	for _, sessions := range []map[string]session{m.sessions, m.formerSessions} {
+		for _, s := range sessions {
+			longest = max(longest, s.Duration)
+		}
 	}
 	return longest
 }
@@ -157,7 +175,9 @@
 	sessions, leases, notes := splitRows(rows)
 	now := time.Now()
 	m.mu.Lock()
+	m.enterGeneration(m.listedGeneration(rows), now)
 	m.storeSessions(sessions, now)
+	m.updateSettled(now)
 	m.storeLeases(leases, now)
 	m.notes = notes
 	m.listed = true
@@ -215,7 +235,7 @@
 			value = sessionRow{malformed: true}
 		}
 		value.VM = strings.TrimPrefix(row.Key, sessionPrefix)
-		old := m.sessions[value.VM]
+		old := sameGeneration(m.sessions[value.VM], row.Version)
 		sessions[value.VM] = session{
 			sessionRow: value,
 			rowTimes:   old.updated(now, old.version == row.Version),
@@ -260,11 +280,15 @@
 	sent, own := m.own.unresolved[s.attempt]
 	if ok && own {
 		if m.own.created == 0 {
-			m.own.created = s.version
+			m.own.created, m.own.createdAt = s.version, now
 		}
 		m.applyRenewal(s.version, sent, now)
 		return
 	}
+	if ok && m.resumes(s) {
+		m.own.version = s.version
+		return
+	}
 	// Another VM has ended the session, or an earlier process on this VM has left a row behind.
 	m.loseHeld(eventSuperseded)
 	m.own.created = 0
@@ -353,6 +377,8 @@
 // renewSessionOnly writes the session of a plan without its other writes.
 func (m *Manager) renewSessionOnly(ctx context.Context, p *plan) bool {
 	if p.sessionOnly() {
+		// The row of this VM's session is not as expected.
+		m.Wake()
 		return true
 	}
 	return m.commit(ctx, &plan{session: p.session, sessionVersion: p.sessionVersion})
@@ -364,7 +390,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.own.created == 0 {
-		m.own.created = version
+		m.own.created, m.own.createdAt = version, now
 	}
 	m.own.counter = p.session.Counter
 	m.applyRenewal(version, sent, now)
--- a/pkg/ledger/ledgertest/table.go
+++ b/pkg/ledger/ledgertest/table.go
@@ -155,3 +155,6 @@
 	}
 	return t.version, nil
 }
+
+// Generation implements platform.Table. The table never returns from an older copy.
+func (t *Table) Generation() uint64 { return 0 }
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -29,6 +29,9 @@
 	StoreDown bool
 	// LeaseSeen is the highest table version among the lease rows that the VM has listed.
 	LeaseSeen uint64
+	// StoreGeneration is the generation of the table service that the VM last listed. The VM uses no right of an earlier
+	// generation that the rows listed do not confirm.
+	StoreGeneration uint64
 	// Claims are the leases that name the VM as their holder, as far as the VM itself knows.
 	Claims []Claim
 }
--- a/pkg/owner/fake_test.go
+++ b/pkg/owner/fake_test.go
@@ -357,3 +357,6 @@
 	metrics.NewMeter().Stop()
 	os.Exit(m.Run())
 }
+
+// Generation implements platform.Table. The fake has no generations.
+func (f *fakeTable) Generation() uint64 { return 0 }
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -69,6 +69,9 @@
 	// It fails with ErrConflict, ErrUnavailable or ErrUnknown. Conditions on versions of an earlier generation do
 	// not hold.
 	Commit(ctx context.Context, txn Txn) (uint64, error)
+	// Generation returns the generation of the service as of its last response, and 0 before that and for a service
+	// without generations.
+	Generation() uint64
 }
 
 // ObjectStore is the platform's object store.
--- a/pkg/platform/rest/services.go
+++ b/pkg/platform/rest/services.go
@@ -134,3 +134,6 @@
 	}
 	return out, nil
 }
+
+// Generation implements platform.Table. The service has no generations.
+func (t *Table) Generation() uint64 { return 0 }
--- a/pkg/standin/table/table.go
+++ b/pkg/standin/table/table.go
@@ -158,3 +158,6 @@
 func (s *Server) stats(w http.ResponseWriter, _ *http.Request) {
 	standin.WriteJSON(w, http.StatusOK, s.Stats())
 }
+
+// Generation implements platform.Table. The stand-in has no generations.
+func (s *Server) Generation() uint64 { return 0 }
