Rate limits: VMs without a home have their turns one after the other

Each VM began its turn at a random time of a period of 190 s, so the number of turns in 36 s was 15 on average with a standard deviation of 3.5: the part of the limit that is set aside was left, or used at once, by chance.

Change: the first turn of a VM begins at its place among the IDs of all VMs, with a random part within its place. The bounds of the tests are as before.

--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -342,6 +342,25 @@
 	}
 }
 
+// VMs that lose the home at the same time have their turns one after the other: the part of the limit that they may use is
+// neither left for long nor used at once.
+func TestTurnsWithoutAHomeAreSpreadEvenly(t *testing.T) {
+	const vms, limit = 80, 2.8
+	for range 5 {
+		inFleet(t, vms, func(f *fleet) {
+			f.state(limit)
+			f.run(vms*10*time.Millisecond, 6*time.Second)
+			f.set(func() { f.home = -1 })
+			lost := time.Now()
+			f.run(vms*10*time.Millisecond, 60*time.Second)
+			for from := 10 * time.Second; from < 40*time.Second; from += time.Second {
+				n := float64(f.count(lost.Add(from), 20*time.Second))
+				require.InDelta(t, shareOfLimit*limit*20, n, 2.5)
+			}
+		})
+	}
+}
+
 // A home that takes over grants no burst, and learns the limit from the VMs that ask.
 func TestLimitHoldsWhileTheHomeMoves(t *testing.T) {
 	inFleet(t, 7, func(f *fleet) {
--- a/pkg/ratelimit/share.go
+++ b/pkg/ratelimit/share.go
@@ -14,19 +14,19 @@
 )
 
 // share is the part of an endpoint's limit that one VM may use without the home of the endpoint: one request in each
-// turn. Turns recur after a period. They begin at a random time, so that those of different VMs are spread evenly.
+// turn. Turns recur after a period, one VM's after another's.
 type share struct {
 	period time.Duration
 	// next is when the next turn begins.
 	next time.Time
 }
 
-// take uses the turn of this VM, one of vms. If there is none now, it returns the time until the next one. random is
-// a number from 0 to 1.
-func (s *share) take(limit float64, vms int, random float64, now time.Time) (granted bool, retryAfter time.Duration) {
+// take uses the turn of this VM, one of vms. If there is none now, it returns the time until the next one. phase returns
+// when the first turn begins, as a part of the period from 0 to 1.
+func (s *share) take(limit float64, vms int, phase func() float64, now time.Time) (granted bool, retryAfter time.Duration) {
 	seconds := float64(vms) / (shareOfLimit * effectiveRate(limit))
 	if period := time.Duration(seconds * float64(time.Second)); period != s.period {
-		s.period, s.next = period, now.Add(time.Duration(random*float64(period)))
+		s.period, s.next = period, now.Add(time.Duration(phase()*float64(period)))
 	}
 	turn := min(s.period, maxTurn)
 	if missed := now.Sub(s.next) - turn; missed > 0 {
--- a/pkg/ratelimit/take.go
+++ b/pkg/ratelimit/take.go
@@ -194,13 +194,25 @@
 		d.By, d.RetryAfter = ByNoHome, noHomeRetryAfter
 	default:
 		d.By, d.VMs = ByShare, l.maxVMs
-		d.Granted, d.RetryAfter = e.share.take(e.stated.rate, l.maxVMs, rand.Float64(), now)
+		d.Granted, d.RetryAfter = e.share.take(e.stated.rate, l.maxVMs, l.phase, now)
 	}
 	if d.Granted {
 		e.unasked.add(now)
 	}
 }
 
+// phase returns when this VM's first turn begins, as a part of the period: VMs that lose the home at the same time have
+// their turns in the order of their IDs. l.mu is held.
+func (l *Limiter) phase() float64 {
+	before := 0
+	for _, m := range l.cfg.Fleet.Members() {
+		if m.ID < l.cfg.Self {
+			before++
+		}
+	}
+	return (float64(before) + rand.Float64()) / float64(max(l.maxVMs, before+1))
+}
+
 // countVMs updates the greatest number of VMs that this process has known. l.mu is held.
 func (l *Limiter) countVMs() { l.maxVMs = max(l.maxVMs, l.cfg.FleetSize()) }
 
