Refused requests: rows that a return of the table loses are written again

Cause: a VM took a row that it had written or listed for stored for good. After the table had returned from an older copy without the row, nobody wrote it again, and a restart of all VMs let the request crash endpoints anew.

Change: the first listing of a new generation is compared with what is stored. The VMs that list the table write lost rows, as the VM that wrote one may not list it. A row that comes back of a request cleared since is deleted as before.

Result: TestRowsLostByAReturnOfTheTableAreWrittenAgain fails without the comparison (no row) and passes with it.

--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -53,6 +53,13 @@
 	return m.matching(prefix)
 }
 
+// CachedGeneration returns the generation of the table service to which the last listing belongs, and 0 before that.
+func (m *Mirror) CachedGeneration() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return platform.GenerationOf(m.position)
+}
+
 // matching returns the rows whose keys begin with prefix, in key order. m.mu is held.
 func (m *Mirror) matching(prefix string) []platform.Row {
 	var rows []platform.Row
--- a/pkg/suspect/store.go
+++ b/pkg/suspect/store.go
@@ -33,6 +33,8 @@
 	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
 	// Cached returns the rows as of the last listing, without a call.
 	Cached(prefix string) []platform.Row
+	// CachedGeneration returns the generation of the table service to which the last listing belongs, without a call.
+	CachedGeneration() uint64
 }
 
 // Store keeps refused requests in the platform's table, so that they are known after all VMs have restarted, and to VMs that
@@ -42,9 +44,11 @@
 	rows   rowTable
 	now    func() time.Time
 	// stored are the requests that the table holds; deleted are the versions, by key, of rows that this VM has deleted or found
-	// to be gone.
-	stored  map[uint64]bool
-	deleted map[string]uint64
+	// to be gone. lost are the requests whose rows the table has lost by returning from an older copy in a new generation.
+	stored     map[uint64]bool
+	deleted    map[string]uint64
+	lost       map[uint64]bool
+	generation uint64
 }
 
 // storedRequest is the value of a row: one refused request. Seen is wall-clock time, as no other clock outlives the VMs: an
@@ -57,7 +61,7 @@
 
 // NewStore returns a store for the refused requests of syncer, in the platform's table.
 func NewStore(syncer *Syncer, rows rowTable) *Store {
-	return &Store{syncer: syncer, rows: rows, now: time.Now, stored: map[uint64]bool{}, deleted: map[string]uint64{}}
+	return &Store{syncer: syncer, rows: rows, now: time.Now, stored: map[uint64]bool{}, deleted: map[string]uint64{}, lost: map[uint64]bool{}}
 }
 
 // Run keeps the rows and the crash reports of this VM consistent until ctx ends.
@@ -77,10 +81,33 @@
 	}
 }
 
+// findLostRows finds the requests whose rows the table has lost if it has returned from an older copy. rows are those of the
+// generation or of a later one.
+func (s *Store) findLostRows(generation uint64, rows []platform.Row) {
+	if generation == s.generation {
+		return
+	}
+	s.generation = generation
+	held := map[string]bool{}
+	for _, row := range rows {
+		held[row.Key] = true
+	}
+	for fingerprint := range s.stored {
+		if key := rowPrefix + FormatFingerprint(fingerprint); !held[key] {
+			delete(s.stored, fingerprint)
+			s.lost[fingerprint] = true
+			s.syncer.log.WithFields(logrus.Fields{"event": "suspect_row_lost", "key": key, "generation": generation}).Warn("row of a refused request is lost; it is written again if the request is still refused")
+		}
+	}
+}
+
 // applyRows applies the rows that have not been applied yet. It returns a row to delete, if there is one: a malformed row, or
 // one whose crashes are no longer held against the request, which would be refused again once a VM restarts.
 func (s *Store) applyRows() (obsolete platform.Row, found bool) {
-	for _, row := range s.rows.Cached(rowPrefix) {
+	generation := s.rows.CachedGeneration()
+	rows := s.rows.Cached(rowPrefix)
+	s.findLostRows(generation, rows)
+	for _, row := range rows {
 		if s.deleted[row.Key] == row.Version {
 			continue
 		}
@@ -126,11 +153,12 @@
 	return fingerprint, req, nil
 }
 
-// nextUnstored returns a refused request that has no row yet and that this VM has to write.
+// nextUnstored returns a refused request that has no row yet and that this VM has to write. Of lost rows only the VMs that list
+// the table know: each of them writes them.
 func (s *Store) nextUnstored() (uint64, storedRequest, bool) {
 	members := s.syncer.members()
 	for fingerprint, reports := range s.syncer.reportsByRequest() {
-		if len(reports) < s.syncer.table.limits.Crashes || s.stored[fingerprint] || !s.syncer.shouldStore(members, fingerprint) {
+		if len(reports) < s.syncer.table.limits.Crashes || s.stored[fingerprint] || !s.lost[fingerprint] && !s.syncer.shouldStore(members, fingerprint) {
 			continue
 		}
 		req := storedRequest{Account: reports[0].Account, Seen: s.now().Add(-reports[0].Age)}
@@ -170,6 +198,7 @@
 	// A conflict means that the row exists already, with the same content.
 	if err == nil || errors.Is(err, platform.ErrConflict) {
 		s.stored[fingerprint] = true
+		delete(s.lost, fingerprint)
 		s.syncer.log.WithFields(logrus.Fields{"event": "suspect_stored", "fingerprint": FormatFingerprint(fingerprint)}).Info("refused request is stored")
 		return
 	}
--- a/pkg/suspect/syncer_test.go
+++ b/pkg/suspect/syncer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -46,6 +47,7 @@
 	tableDown  bool
 	listingVMs int
 	version    uint64
+	generation uint64
 	writes     int
 }
 
@@ -141,6 +143,17 @@
 	return rows
 }
 
+// CachedGeneration implements rowTable.
+func (vm *testVM) CachedGeneration() uint64 {
+	f := vm.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Index(f.vms, vm) < f.listingVMs {
+		return f.generation
+	}
+	return 0
+}
+
 // Commit implements rowTable.
 func (vm *testVM) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
 	f := vm.fleet
@@ -237,6 +250,43 @@
 	})
 }
 
+// The row of a refused request that the table loses by returning from an older copy is written again, also if the VM that
+// wrote it does not list the table. One that the copy brings back for a request that was cleared since does not count.
+func TestRowsLostByAReturnOfTheTableAreWrittenAgain(t *testing.T) {
+	runFleet(t, 7, func(f *testFleet) {
+		home := slices.IndexFunc(f.vms, func(vm *testVM) bool { return vm.id == homesOf(f.members(), fp)[0] })
+		f.update(func() { f.listingVMs = home })
+		if home == 0 {
+			f.update(func() { f.listingVMs = 7 })
+		}
+		for i := range 3 {
+			f.crash(i, fmt.Sprint("e", i), fp)
+		}
+		time.Sleep(syncDeadline)
+		rows := maps.Clone(f.rows)
+		require.Len(t, rows, 1)
+		f.update(func() { f.rows, f.generation = map[string]platform.Row{}, 1 })
+		time.Sleep(syncDeadline)
+		require.Len(t, f.rows, 1)
+		writes := f.writes
+		time.Sleep(syncDeadline)
+		require.Equal(t, writes, f.writes, "nothing is left to write")
+		f.vms[home].detector.Served(fp)
+		time.Sleep(syncDeadline)
+		require.Empty(t, f.rows)
+		f.update(func() {
+			f.generation = 2
+			for key, row := range rows {
+				row.Version = platform.VersionIn(f.generation, row.Version)
+				f.rows[key] = row
+			}
+		})
+		time.Sleep(syncDeadline)
+		f.requireAll(Allow, fp)
+		require.Empty(t, f.rows)
+	})
+}
+
 // VMs that start later, that were unreachable, or that are no homes of the request must learn of a refused request too.
 func TestLateVMsLearnOfARefusedRequest(t *testing.T) {
 	runFleet(t, 7, func(f *testFleet) {
