Operator's rows and endpoints across a return of the store from an older copy

Cause: a VM that read the store after its return took what the copy held for current. Stewards passed the older configuration on to VMs that started; a VM that started in the gap served by it; keys that had expired on a VM out of touch became valid again; an endpoint whose row was lost was dropped at once, and one that had gone before was used again, or an earlier start of one.

Change: the newest row of the operator by its own version is kept and passed on, whatever the store holds. Endpoints missing after a return are kept for the time of grace; rows brought back of endpoints that were not known count from the next report on.

--- a/pkg/gatewayd/fleetview.go
+++ b/pkg/gatewayd/fleetview.go
@@ -40,6 +40,8 @@
 	mu sync.RWMutex
 	// The fields below are guarded by mu.
 
+	// operatorRows are the newest rows of the operator, by key.
+	operatorRows map[string]versionedRow
 	// newestVersions are the newest versions of adapters that the operator has declared.
 	newestVersions map[residency.Key]int
 	// leaving maps the endpoint incarnations that have announced in a response that they are about to terminate
@@ -54,10 +56,16 @@
 	endpointsPosition uint64
 }
 
+// versionedRow is a row of the operator with the operator's own version of its content; 0 if it cannot be decoded.
+type versionedRow struct {
+	value   []byte
+	version uint64
+}
+
 func newFleetView(p Platform, log logrus.FieldLogger) *fleetView {
 	return &fleetView{
 		platform: p, log: log, roster: roster.New(), onChange: func() {}, onEndpointRead: func(roster.Endpoint) {},
-		newestVersions: map[residency.Key]int{}, leaving: map[roster.Incarnation]time.Time{}, malformed: map[string][]byte{},
+		operatorRows: map[string]versionedRow{}, newestVersions: map[residency.Key]int{}, leaving: map[roster.Incarnation]time.Time{}, malformed: map[string][]byte{},
 	}
 }
 
@@ -66,6 +74,7 @@
 func (v *fleetView) applyOperatorRows(rows map[string][]byte) {
 	for key, value := range rows {
 		decoded, err := v.platform.DecodeOperator(key, value)
+		v.keepOperatorRow(key, value, decoded)
 		if err != nil {
 			v.logMalformed("operator_row_malformed", key, value, err)
 			continue
@@ -80,6 +89,34 @@
 	v.onChange()
 }
 
+// keepOperatorRow keeps a row of the operator unless a newer one is known.
+func (v *fleetView) keepOperatorRow(key string, value []byte, decoded OperatorRow) {
+	row := versionedRow{value: value}
+	switch {
+	case decoded.Config != nil:
+		row.version = decoded.Config.Version
+	case decoded.AdapterVersion != nil:
+		row.version = uint64(max(decoded.AdapterVersion.Version, 0))
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known, ok := v.operatorRows[key]; !ok || known.version <= row.version {
+		v.operatorRows[key] = row
+	}
+}
+
+// newestOperatorRows returns the newest rows of the operator, by key. They may be newer than those of the store if that has
+// returned from an older copy.
+func (v *fleetView) newestOperatorRows() map[string][]byte {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	values := make(map[string][]byte, len(v.operatorRows))
+	for key, row := range v.operatorRows {
+		values[key] = row.value
+	}
+	return values
+}
+
 func (v *fleetView) applyConfig(config *bundle.Bundle) {
 	old := v.rules.Load()
 	if old != nil && old.Bundle.Version >= config.Version {
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -99,6 +99,14 @@
 	return list
 }
 
+// settled reports whether a generation of the store has settled, as far as this VM knows. See lease.Directory.
+func (s *stewardSet) settled(generation uint64) bool {
+	s.mu.RLock()
+	known := s.directoryKnown
+	s.mu.RUnlock()
+	return known && s.currentDirectory().Settled(generation)
+}
+
 // peerAddress returns the address at which a VM takes calls from other VMs, or false if the VM is unknown or
 // gone.
 func (s *stewardSet) peerAddress(vm string) (string, bool) {
--- a/pkg/gatewayd/storereader.go
+++ b/pkg/gatewayd/storereader.go
@@ -39,18 +39,29 @@
 	stewards            *stewardSet
 	log                 logrus.FieldLogger
 	operator, endpoints *follow.Follower
+	doubt               *doubt
 
 	mu sync.Mutex
+	// unpublished are the operator's rows as last read until they are published, guarded by mu.
+	unpublished map[string][]byte
 	// endpointRows are the rows of the endpoint list, guarded by mu.
 	endpointRows map[string]platform.Row
 	// endpointsPosition is the position in the table's history that endpointRows correspond to, guarded by mu.
 	endpointsPosition uint64
+	// endpointsReturnedAt is when this VM first read the list after the store had returned from an older copy, and
+	// restored are the versions of the rows, by key, that it read then and that have not been written since. Both
+	// are guarded by mu.
+	endpointsReturnedAt time.Time
+	restored            map[string]uint64
 	// lapsed holds the endpoints that are kept for lapseGrace after an outage of the store, guarded by mu.
 	lapsed map[string]roster.Endpoint
 }
 
-func newStoreReader(p Platform, view *fleetView, updates *relay.UpdateLog, s *stewardSet, log logrus.FieldLogger) *storeReader {
-	r := &storeReader{platform: p, view: view, updateLog: updates, stewards: s, log: log, lapsed: map[string]roster.Endpoint{}}
+func newStoreReader(p Platform, view *fleetView, updates *relay.UpdateLog, s *stewardSet, d *doubt, log logrus.FieldLogger) *storeReader {
+	r := &storeReader{
+		platform: p, view: view, updateLog: updates, stewards: s, doubt: d, log: log,
+		restored: map[string]uint64{}, lapsed: map[string]roster.Endpoint{},
+	}
 	r.operator = follow.New(follow.Config{
 		Name: "operator", Feed: p.Operator, Wait: operatorLongPoll, OnChange: r.onOperatorRows, Log: log,
 	})
@@ -73,7 +84,16 @@
 // Ages implements relay.Reader.
 func (r *storeReader) Ages() (operator, endpoints time.Duration) {
 	now := time.Now()
-	return clock.Elapsed(r.operator.Confirmed(), now), clock.Elapsed(r.endpoints.Confirmed(), now)
+	return clock.Elapsed(r.operatorConfirmed(), now), clock.Elapsed(r.endpoints.Confirmed(), now)
+}
+
+// operatorConfirmed returns the time at which the operator's rows are last known to have been current; zero while they are
+// in doubt.
+func (r *storeReader) operatorConfirmed() time.Time {
+	if r.doubt.holds(time.Now()) {
+		return time.Time{}
+	}
+	return r.operator.Confirmed()
 }
 
 // confirmInterval is the interval at which the times of the store's last responses are copied to the fleet
@@ -83,23 +103,41 @@
 // propagateConfirmations reports to the fleet view up to which times the rows are current, until ctx ends.
 func (r *storeReader) propagateConfirmations(ctx context.Context) {
 	for ctx.Err() == nil {
-		r.view.confirm(r.operator.Confirmed(), r.endpoints.Confirmed())
+		r.publishOperatorRows()
+		r.view.confirm(r.operatorConfirmed(), r.endpoints.Confirmed())
 		clock.Sleep(ctx, confirmInterval)
 	}
 }
 
-func (r *storeReader) onOperatorRows(rows map[string]platform.Row, _ uint64) {
+func (r *storeReader) onOperatorRows(rows map[string]platform.Row, position uint64) {
 	values := make(map[string][]byte, len(rows))
 	for key, row := range rows {
 		values[key] = row.Value
 	}
-	r.view.applyOperatorRows(values)
-	r.updateLog.Replace(relay.Operator, values)
+	r.doubt.enter(platform.GenerationOf(position), time.Now())
+	r.mu.Lock()
+	r.unpublished = values
+	r.mu.Unlock()
+	r.publishOperatorRows()
+}
+
+// publishOperatorRows publishes the operator's rows as last read, and applies them to this VM's own view, unless that has been
+// done or they are in doubt.
+func (r *storeReader) publishOperatorRows() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unpublished == nil || r.doubt.holds(time.Now()) {
+		return
+	}
+	r.view.applyOperatorRows(r.unpublished)
+	r.unpublished = nil
+	r.updateLog.Replace(relay.Operator, r.view.newestOperatorRows())
 }
 
 func (r *storeReader) onEndpointRows(rows map[string]platform.Row, position uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.noteRestored(rows, position, time.Now())
 	r.endpointRows = make(map[string]platform.Row, len(rows))
 	for key, row := range rows {
 		r.endpointRows[key] = row
@@ -118,12 +156,18 @@
 			r.view.logMalformed("endpoint_row_malformed", key, row.Value, err)
 			continue
 		}
+		restored := r.restored[key] == row.Version
+		if restored && !r.knows(e) {
+			continue
+		}
+		if !restored {
+			r.view.onEndpointRead(e)
+		}
 		list = append(list, e)
 	}
 	list = append(list, r.lapsedEndpoints(list, now)...)
 	values := make(map[string][]byte, len(list))
 	for i := range list {
-		r.view.onEndpointRead(list[i])
 		list[i].Loaded = nil
 		data, err := json.Marshal(list[i])
 		if err != nil {
@@ -139,10 +183,50 @@
 	r.view.applyEndpoints(list, r.endpointsPosition, r.endpoints.Confirmed())
 }
 
+// noteRestored records which rows of the endpoint list a return of the store from an older copy has brought back, and forgets
+// those that have been written since. The caller holds r.mu.
+func (r *storeReader) noteRestored(rows map[string]platform.Row, position uint64, now time.Time) {
+	for key, version := range r.restored {
+		if rows[key].Version != version {
+			delete(r.restored, key)
+		}
+	}
+	if !r.returned(platform.GenerationOf(position)) {
+		return
+	}
+	r.endpointsReturnedAt = now
+	for key, row := range rows {
+		r.restored[key] = row.Version
+	}
+	r.log.WithFields(logrus.Fields{"event": "endpoints_restored", "rows": len(rows), "kept_for": lapseGrace}).
+		Warn("the store has returned from an older copy: endpoints that were not known are used once they report again, missing ones are kept for a while")
+}
+
+// returned reports whether the endpoint list is read for the first time in a generation that began after other endpoints were
+// known to this VM. The caller holds r.mu.
+func (r *storeReader) returned(generation uint64) bool {
+	if r.view.roster.View().Len() == 0 {
+		return false
+	}
+	if r.endpointsPosition == 0 {
+		return !r.stewards.settled(generation)
+	}
+	return generation > platform.GenerationOf(r.endpointsPosition)
+}
+
+// knows reports whether this VM already knows the endpoint incarnation.
+func (r *storeReader) knows(e roster.Endpoint) bool {
+	known, ok := r.view.roster.View().Endpoint(e.ID)
+	return ok && known.Incarnation == e.Incarnation
+}
+
 // lapsedEndpoints returns the endpoints that are missing from the list but are kept, because the store has
 // recently recovered from an outage. The caller holds r.mu.
 func (r *storeReader) lapsedEndpoints(list []roster.Endpoint, now time.Time) []roster.Endpoint {
 	until := r.endpoints.RecoveredAt().Add(lapseGrace)
+	if returned := r.endpointsReturnedAt.Add(lapseGrace); returned.After(until) {
+		until = returned
+	}
 	if now.After(until) {
 		clear(r.lapsed)
 		return nil
--- a/pkg/gatewayd/updates.go
+++ b/pkg/gatewayd/updates.go
@@ -101,6 +101,7 @@
 		var vm lease.SessionVM
 		if a.decode(relay.Stewards, id, data, &vm) {
 			d.VMs = append(d.VMs, vm)
+			d.SettledGeneration = max(d.SettledGeneration, vm.SettledGeneration)
 		}
 	}
 	lease.SortVMs(d.VMs)
--- a/pkg/lease/directory.go
+++ b/pkg/lease/directory.go
@@ -15,6 +15,15 @@
 	Holders map[string]Holder
 	// VMs are those whose sessions are not over, in the order in which other VMs should poll them.
 	VMs []SessionVM
+	// SettledGeneration is the highest generation of the table service that is known to have settled: no VM relies on what
+	// the service held before its return any more. NeverUsed says that no VM has had a session yet.
+	SettledGeneration uint64
+	NeverUsed         bool
+}
+
+// Settled reports whether a generation of the table service has settled.
+func (d Directory) Settled(generation uint64) bool {
+	return d.NeverUsed || d.SettledGeneration >= generation
 }
 
 // SessionVM is a VM as its session row describes it.
@@ -25,15 +34,22 @@
 	// Capacity is the VM's relative capacity for work, compared with other VMs.
 	Capacity float64
 	Draining bool
+	// SettledGeneration is the highest generation of the table service that the VM knows to have settled.
+	SettledGeneration uint64
 }
 
 // ReadDirectory builds a directory from rows of the table. Rows that cannot be decoded are skipped.
 func ReadDirectory(rows []platform.Row) Directory {
 	d := Directory{Holders: map[string]Holder{}}
 	sessions, leases, _ := splitRows(rows)
+	d.NeverUsed = len(sessions) == 0
 	for _, row := range sessions {
 		s, err := decodeSession(row)
-		if err != nil || s.over() {
+		if err != nil {
+			continue
+		}
+		d.SettledGeneration = max(d.SettledGeneration, s.SettledGeneration)
+		if s.over() {
 			continue
 		}
 		s.VM = strings.TrimPrefix(row.Key, sessionPrefix)
@@ -55,6 +71,7 @@
 	d := Directory{Holders: map[string]Holder{}}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	d.SettledGeneration = m.settledGeneration
 	for vm, s := range m.sessions {
 		if vm == m.cfg.ID || s.malformed || s.over() || m.fleet.Gone(vm, s.Incarnation) {
 			continue
@@ -64,7 +81,7 @@
 	if m.own.created != 0 && !m.closed {
 		d.VMs = append(d.VMs, SessionVM{
 			ID: m.cfg.ID, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address,
-			Capacity: m.cfg.Capacity, Draining: m.draining,
+			Capacity: m.cfg.Capacity, Draining: m.draining, SettledGeneration: m.settledGeneration,
 		})
 	}
 	for name, l := range m.leases {
@@ -77,7 +94,10 @@
 }
 
 func (s sessionRow) toSessionVM() SessionVM {
-	return SessionVM{ID: s.VM, Incarnation: s.Incarnation, Address: s.Address, Capacity: s.Capacity, Draining: s.Draining}
+	return SessionVM{
+		ID: s.VM, Incarnation: s.Incarnation, Address: s.Address, Capacity: s.Capacity, Draining: s.Draining,
+		SettledGeneration: s.SettledGeneration,
+	}
 }
 
 func (l leaseRow) toHolder() Holder {
