--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -23,6 +23,8 @@
 	down      bool
 	changed   chan struct{}
 	calls     int
+	// generation is that of the table service.
+	generation uint64
 }
 
 func newFakeFeed() *fakeFeed {
@@ -57,7 +59,7 @@
 	for _, row := range f.rows {
 		rows = append(rows, row)
 	}
-	return rows, f.version, nil
+	return rows, platform.VersionIn(f.generation, f.version), nil
 }
 
 func (f *fakeFeed) Changes(ctx context.Context, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
@@ -66,10 +68,11 @@
 	f.withLock(func() { f.calls++ })
 	for {
 		f.mu.Lock()
-		down, compacted, version, changed := f.down, f.compacted, f.version, f.changed
+		down, compacted, changed := f.down, f.compacted, f.changed
+		version, returned := platform.VersionIn(f.generation, f.version), platform.GenerationOf(after) != f.generation
 		var list []platform.Change
 		for _, c := range f.changes {
-			if c.Version > after {
+			if c.Version > platform.CounterOf(after) {
 				list = append(list, c)
 			}
 		}
@@ -77,7 +80,7 @@
 		switch {
 		case down:
 			return nil, 0, platform.ErrUnavailable
-		case after < compacted:
+		case platform.CounterOf(after) < compacted || returned:
 			return nil, 0, platform.ErrCompacted
 		case len(list) > 0:
 			return list, version, nil
@@ -174,6 +177,28 @@
 	})
 }
 
+// A table that returns from an older copy is read again, once, also if it has assigned the follower's position again by then.
+func TestFollowerReadsOnceAfterAReturn(t *testing.T) {
+	runFollower(t, time.Second, 0, func(feed *fakeFeed, f *Follower, seen func() map[string]string) {
+		feed.put("a", "1")
+		feed.put("b", "2")
+		require.Equal(t, map[string]string{"a": "1", "b": "2"}, seen())
+		time.Sleep(2 * time.Second)
+		feed.withLock(func() {
+			delete(feed.rows, "b")
+			feed.changes = feed.changes[:1]
+			feed.version, feed.generation, feed.calls = 1, 1, 0
+		})
+		feed.put("c", "3")
+		feed.put("d", "4")
+		require.Equal(t, map[string]string{"a": "1", "c": "3", "d": "4"}, seen())
+		feed.withLock(func() { require.LessOrEqual(t, feed.calls, 4) })
+		require.Less(t, time.Since(f.Confirmed()), time.Second)
+		feed.put("e", "5")
+		require.Equal(t, map[string]string{"a": "1", "c": "3", "d": "4", "e": "5"}, seen())
+	})
+}
+
 // A table that changes all the time is polled no more often than the pause allows.
 func TestFollowerPausesBetweenCalls(t *testing.T) {
 	runFollower(t, 0, time.Second, func(feed *fakeFeed, _ *Follower, seen func() map[string]string) {
