Leases: no storm of listings while the table has returned for some calls only

While the table gave conflicts but no listings (a new generation is known, listings fail), it listed without a pause.

Change: the conflict makes the same tick list, if that has not yet, and else the next one.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -157,7 +157,7 @@
 	closed        bool
 	// heldBack is why this VM claims no lease for now; blank if it may claim.
 	heldBack string
-	// woken says that Wake has been called since the last listing.
+	// woken says that Wake or requireListing has been called since canSkipListing last was.
 	woken bool
 }
 
--- a/pkg/lease/return_test.go
+++ b/pkg/lease/return_test.go
@@ -1,14 +1,19 @@
 package lease_test
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/fleettest"
 	"github.com/mallowlink/mallowlink/pkg/lease"
+	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/platform"
 )
 
 // outage is how long the table is away before it returns from an older copy.
@@ -244,3 +249,69 @@
 		}
 	})
 }
+
+// splitTable is a table that responds to no listing and to each commit with a conflict, as a service does that has returned for
+// some of its calls only.
+type splitTable struct {
+	platform.Table
+	split    atomic.Bool
+	listings atomic.Int64
+}
+
+func (t *splitTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	t.listings.Add(1)
+	if t.split.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return t.Table.List(ctx, prefix)
+}
+
+func (t *splitTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if t.split.Load() {
+		return 0, platform.ErrConflict
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+// A conflict of a VM's own session is followed by a listing at once, but not by one after another while the table cannot be listed.
+func TestConflictsCauseNoStormOfListings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &splitTable{Table: fleettest.NewTable(1).Client("me", nil)}
+		registry := membership.New(membership.Config{ID: "me", Incarnation: "1"}, &fleettest.Lister{}, nil, fleettest.Quiet())
+		ctx, cancel := context.WithCancel(t.Context())
+		m := lease.NewManager(lease.Config{
+			ID: "me", Incarnation: "1", Names: func() []string { return []string{lease.Budget} }, ListPeriod: 5 * time.Second,
+		}, table, registry, nil, &engineOwner{lease: "none", sending: make(chan struct{}, 1)}, fleettest.Quiet())
+		done := make(chan struct{})
+		go func() {
+			m.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(10 * time.Second)
+		_, held := m.Held(lease.Budget)
+		require.True(t, held)
+		before := table.listings.Load()
+		table.split.Store(true)
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, table.listings.Load()-before, int64(12), "one a period")
+		cancel()
+		<-done
+	})
+}
+
+// A VM whose session row is not as expected lists the table at once, and renews its session before it lapses.
+func TestConflictOfTheSessionIsFollowedByAListing(t *testing.T) {
+	runFleet(t, 11, 1, []string{lease.Budget}, func(f *fleet) {
+		first := f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(40 * time.Second)
+		reads, _ := f.Table.Counts()
+		f.Table.Return(3 * time.Second)
+		time.Sleep(1100 * time.Millisecond)
+		after, _ := f.Table.Counts()
+		require.Greater(f.t, after, reads)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			require.Equal(f.t, []*fleettest.VM{first}, f.Holders(lease.Budget))
+		}
+	})
+}
--- a/pkg/lease/tick.go
+++ b/pkg/lease/tick.go
@@ -23,7 +23,9 @@
 	}
 	if m.canSkipListing(time.Now()) {
 		m.commit(ctx, m.plan(false, time.Now()))
-		return time.Time{}
+		if !m.listingRequired() {
+			return time.Time{}
+		}
 	}
 	listed := m.refresh(ctx)
 	p := m.plan(listed, time.Now())
@@ -73,6 +75,20 @@
 	return true
 }
 
+// requireListing makes the next tick list the rows, or this one if it has not done so.
+func (m *Manager) requireListing() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.woken = true
+}
+
+// listingRequired reports whether requireListing has been called, or the VM woken, since canSkipListing was.
+func (m *Manager) listingRequired() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.woken
+}
+
 func (m *Manager) isClosed() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -378,7 +394,7 @@
 func (m *Manager) renewSessionOnly(ctx context.Context, p *plan) bool {
 	if p.sessionOnly() {
 		// The row of this VM's session is not as expected.
-		m.Wake()
+		m.requireListing()
 		return true
 	}
 	return m.commit(ctx, &plan{session: p.session, sessionVersion: p.sessionVersion})
