--- a/pkg/lease/return_test.go
+++ b/pkg/lease/return_test.go
@@ -48,6 +48,18 @@
 	return highest
 }
 
+// restartHolder restarts the holder of a lease, which claims it again. It returns the holder, and the time before the restart.
+func (f *fleet) restartHolder(name string) (*fleettest.VM, time.Time) {
+	f.t.Helper()
+	first := f.holder(name, 2*takeoverLimit)
+	time.Sleep(30 * time.Second)
+	before := time.Now()
+	f.Kill(first)
+	second := f.Start(first.ID)
+	require.Equal(f.t, second, f.holder(name, 2*takeoverLimit))
+	return second, before
+}
+
 // A holder whose claim is older than the copy keeps its lease, without a break.
 func TestHolderKeepsItsLeaseAcrossAReturn(t *testing.T) {
 	runFleet(t, 1, 7, []string{lease.Budget, "group/a"}, func(f *fleet) {
@@ -98,12 +110,7 @@
 // their rights may last.
 func TestVMThatStartsAfterAReturnWaits(t *testing.T) {
 	runFleet(t, 3, 3, []string{lease.Budget}, func(f *fleet) {
-		first := f.holder(lease.Budget, 2*takeoverLimit)
-		time.Sleep(30 * time.Second)
-		before := time.Now()
-		f.Kill(first)
-		second := f.Start(first.ID)
-		require.Equal(f.t, second, f.holder(lease.Budget, 2*takeoverLimit))
+		second, before := f.restartHolder(lease.Budget)
 		lost := f.fencing(lease.Budget)
 		// The holder renews once more, and no longer reaches the table.
 		time.Sleep(time.Second)
@@ -170,12 +177,7 @@
 // A holder whose claim is lost, and which has not listed the table since its return, still uses its lease. Others wait for it.
 func TestHolderThatHasNotSeenTheReturn(t *testing.T) {
 	runFleet(t, 9, 3, []string{lease.Budget}, func(f *fleet) {
-		first := f.holder(lease.Budget, 2*takeoverLimit)
-		time.Sleep(30 * time.Second)
-		before := time.Now()
-		f.Kill(first)
-		second := f.Start(first.ID)
-		require.Equal(f.t, second, f.holder(lease.Budget, 2*takeoverLimit))
+		second, before := f.restartHolder(lease.Budget)
 		time.Sleep(time.Second)
 		f.Table.SetFaults(second.ID, fleettest.TableFaults{Latency: 700 * time.Millisecond})
 		f.Table.Return(time.Since(before))
