Revert "Relay: a steward that is cut off from the store polls the next one"

With the change the reading steward counted itself out then, another one began with a read that was behind, and all polled that.

--- a/pkg/relay/node.go
+++ b/pkg/relay/node.go
@@ -35,11 +35,6 @@
 	// sourceRetryInterval is the time after which a VM that reads the store for itself tries again to find a VM
 	// to poll.
 	sourceRetryInterval = time.Second
-	// firstReadGrace is how long a VM that has begun to read the store waits for its first responses before it looks for
-	// another source. A store that is slow responds within that.
-	firstReadGrace = 300 * time.Millisecond
-	// staleCheckInterval is the time between two checks of the age of the store's responses while this VM reads for itself.
-	staleCheckInterval = 100 * time.Millisecond
 	// unresponsiveAfter is the time after which a VM that does not poll counts as unresponsive.
 	unresponsiveAfter = 2500 * time.Millisecond
 	// startupLookups is how many times a VM that starts looks up the stewards before it reads the store for itself.
@@ -108,11 +103,10 @@
 	backoffs map[string]backoff
 	// servedAt is when this VM last received fresh updates from another VM.
 	servedAt time.Time
-	// readUntil is the time until which this VM reads the store, readingSince when it began to. stopReading ends the
-	// reading; nil while this VM does not read.
-	readUntil    time.Time
-	readingSince time.Time
-	stopReading  context.CancelFunc
+	// readUntil is the time until which this VM reads the store. stopReading ends the reading; nil while this VM
+	// does not read.
+	readUntil   time.Time
+	stopReading context.CancelFunc
 	// lastPull is when each VM that polls this one last did so; pullers are the descriptions of these VMs.
 	lastPull map[string]time.Time
 	pullers  map[string]VM
@@ -139,7 +133,9 @@
 	for ctx.Err() == nil {
 		source, ok := n.chooseSource(time.Now())
 		if !ok {
-			n.readForItself(ctx)
+			n.setSource("")
+			n.readFor(sourceRetryInterval + readLinger)
+			clock.Sleep(ctx, sourceRetryInterval)
 			continue
 		}
 		n.setSource(source.ID)
@@ -150,34 +146,6 @@
 	}
 }
 
-// readForItself makes this VM read the store for sourceRetryInterval. If the store's responses become too old meanwhile, this
-// VM looks for another source for a while.
-func (n *Node) readForItself(ctx context.Context) {
-	n.setSource("")
-	n.readFor(sourceRetryInterval + readLinger)
-	for waited := time.Duration(0); waited < sourceRetryInterval; waited += staleCheckInterval {
-		if !clock.Sleep(ctx, staleCheckInterval) {
-			return
-		}
-		if n.readingStale(time.Now()) {
-			n.backOff(n.cfg.Self.ID, time.Now())
-			return
-		}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.backoffs, n.cfg.Self.ID)
-}
-
-// readingStale reports whether this VM has read the store for firstReadGrace or longer, and the responses are too old.
-func (n *Node) readingStale(now time.Time) bool {
-	n.mu.Lock()
-	began := n.readingSince
-	n.mu.Unlock()
-	operator, endpoints := n.cfg.Reader.Ages()
-	return now.Sub(began) >= firstReadGrace && (operator > maxOperatorAge || endpoints > maxEndpointsAge)
-}
-
 // start looks for a steward that has updates, so that VMs that start do not all read the store. A VM that finds no
 // steward, or one that does not respond, reads the store for itself.
 func (n *Node) start(ctx context.Context) {
@@ -231,10 +199,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, vm := range list {
-		if now.Before(n.backoffs[vm.ID].until) {
-			continue
+		if vm.ID == n.cfg.Self.ID {
+			return VM{}, false
+		}
+		if !now.Before(n.backoffs[vm.ID].until) {
+			return vm, true
 		}
-		return vm, vm.ID != n.cfg.Self.ID
 	}
 	return VM{}, false
 }
@@ -324,7 +294,7 @@
 	if n.stopReading == nil && n.ctx.Err() == nil {
 		defer n.publishVM(n.cfg.Self)
 		ctx, cancel := context.WithCancel(n.ctx)
-		n.stopReading, n.readingSince = cancel, time.Now()
+		n.stopReading = cancel
 		go n.cfg.Reader.Run(ctx)
 		n.cfg.Log.WithField("event", "reading_store").Info("started to read the store")
 	}
