--- a/pkg/suspect/syncer_test.go
+++ b/pkg/suspect/syncer_test.go
@@ -263,18 +263,24 @@
 			f.crash(i, fmt.Sprint("e", i), fp)
 		}
 		time.Sleep(syncDeadline)
-		rows := maps.Clone(f.rows)
+		var rows map[string]platform.Row
+		f.update(func() {
+			rows = maps.Clone(f.rows)
+			f.rows, f.generation = map[string]platform.Row{}, 1
+		})
 		require.Len(t, rows, 1)
-		f.update(func() { f.rows, f.generation = map[string]platform.Row{}, 1 })
 		time.Sleep(syncDeadline)
-		require.Len(t, f.rows, 1)
-		writes := f.writes
+		var writes int
+		f.update(func() {
+			require.Len(t, f.rows, 1)
+			writes = f.writes
+		})
 		time.Sleep(syncDeadline)
-		require.Equal(t, writes, f.writes, "nothing is left to write")
+		f.update(func() { require.Equal(t, writes, f.writes, "nothing is left to write") })
 		f.vms[home].detector.Served(fp)
 		time.Sleep(syncDeadline)
-		require.Empty(t, f.rows)
 		f.update(func() {
+			require.Empty(t, f.rows)
 			f.generation = 2
 			for key, row := range rows {
 				row.Version = platform.VersionIn(f.generation, row.Version)
@@ -283,7 +289,7 @@
 		})
 		time.Sleep(syncDeadline)
 		f.requireAll(Allow, fp)
-		require.Empty(t, f.rows)
+		f.update(func() { require.Empty(t, f.rows) })
 	})
 }
 
