Lease schedules: one loop over the seeds for both tests

Change: runSchedules plays the seeds of both; names, seeds and checks are as before. No code outside the test has changed.

--- a/pkg/lease/schedules_test.go
+++ b/pkg/lease/schedules_test.go
@@ -226,29 +226,22 @@
 
 // TestSchedules runs seeded random schedules of faults: at no time may two VMs hold one lease, fencing numbers must
 // never decrease, and each lease must have one holder after the faults.
-func TestSchedules(t *testing.T) {
-	names := []string{"group/a", "account/x", lease.Budget}
-	for i := range *schedules {
-		seed := *firstSeed + int64(i)
-		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSchedule(t, seed, names, false) })
-		if !ok {
-			t.Fatalf("schedule with -first-seed=%d failed", seed)
-		}
-	}
-	t.Logf("%d schedules from seed %d", *schedules, *firstSeed)
-}
+func TestSchedules(t *testing.T) { runSchedules(t, false) }
 
 // The guarantees of TestSchedules also hold if the table returns again and again from copies that are some seconds old, amid other
 // faults.
-func TestSchedulesWithReturnsOfTheTable(t *testing.T) {
+func TestSchedulesWithReturnsOfTheTable(t *testing.T) { runSchedules(t, true) }
+
+func runSchedules(t *testing.T, returns bool) {
 	names := []string{"group/a", "account/x", lease.Budget}
 	for i := range *schedules {
 		seed := *firstSeed + int64(i)
-		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSchedule(t, seed, names, true) })
+		ok := t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSchedule(t, seed, names, returns) })
 		if !ok {
 			t.Fatalf("schedule with -first-seed=%d failed", seed)
 		}
 	}
+	t.Logf("%d schedules from seed %d", *schedules, *firstSeed)
 }
 
 func runSchedule(t *testing.T, seed int64, names []string, returns bool) {
