Log the prompt parts of requests whose connections end, and whether they had begun

Change: attempt_ended names the parts that other requests may share and whether a response head had arrived. No logic is changed. Test: TestEndedConnectionsAreLoggedWithSharedParts.

--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -85,7 +86,8 @@
 
 // logAttempt logs an attempt at an endpoint that was not successful: a missing or truncated response, an error
 // status or a rejection. If the endpoint closed or reset the connection, the line has the request's fingerprint,
-// by which equal requests can be found.
+// by which equal requests can be found, the parts of its prompt that other requests may share, and whether the endpoint had
+// begun to respond.
 func (c *call) logAttempt(result string, err error) {
 	entry := c.g.cfg.Log.WithError(err).WithFields(logrus.Fields{
 		"event": "attempt_ended", "id": c.terms.ID, "endpoint": c.placement.Endpoint.ID, "started": c.placement.Endpoint.Started,
@@ -93,7 +95,9 @@
 	})
 	if upstream.ConnectionClosed(err) {
 		c.g.meters.connectionsEnded.Inc(1)
-		entry = entry.WithField("fingerprint", strconv.FormatUint(c.fingerprint(), 16))
+		entry = entry.WithFields(logrus.Fields{
+			"fingerprint": strconv.FormatUint(c.fingerprint(), 16), "parts": strings.Join(c.sharedParts(), ","), "begun": !c.headAt.IsZero(),
+		})
 	}
 	entry.Warn("attempt at endpoint not successful")
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -48,6 +48,11 @@
 		}
 		t.PromptTokens, t.HasTokens = n, true
 	}
+	if text := h.Get("Parts"); text != "" {
+		for id := range strings.SplitSeq(text, ",") {
+			t.Prompt = append(t.Prompt, dialect.PromptPart{ID: id, Tokens: 1})
+		}
+	}
 	return t, nil
 }
 
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -133,3 +133,17 @@
 		c.g.cfg.Suspects.Served(c.fingerprint())
 	}
 }
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may share: all but the last one, which belongs
+// to the request or its session.
+func (c *call) sharedParts() []string {
+	if len(c.terms.Prompt) < 2 {
+		return nil
+	}
+	shared := c.terms.Prompt[:len(c.terms.Prompt)-1]
+	ids := make([]string, len(shared))
+	for i, part := range shared {
+		ids[i] = part.ID
+	}
+	return ids
+}
--- a/pkg/gateway/suspects_test.go
+++ b/pkg/gateway/suspects_test.go
@@ -36,6 +36,27 @@
 	require.NotEqual(t, fingerprints[0], fingerprints[2])
 }
 
+// The log must show the parts that a request with an ended connection may share with others, and whether the endpoint had
+// begun to respond.
+func TestEndedConnectionsAreLoggedWithSharedParts(t *testing.T) {
+	begin := func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		drop(w, r)
+	}
+	b := newTestbed(t, begin)
+	b.do("/stream/x", map[string]string{"Parts": "first,second,own"}, "body")
+	b.do("/stream/x", map[string]string{"Parts": "own"}, "body")
+	var parts, begun []any
+	for _, line := range b.logHook.AllEntries() {
+		if line.Data["event"] == "attempt_ended" {
+			parts, begun = append(parts, line.Data["parts"]), append(begun, line.Data["begun"])
+		}
+	}
+	require.Equal(t, []any{"first,second", ""}, parts)
+	require.Equal(t, []any{true, true}, begun)
+}
+
 // unknownProber is a prober whose endpoints never respond.
 type unknownProber struct{}
 
