Tests of requests that share a crashing prompt part, failing

Change: the stand-in endpoint crashes on a part of a prompt once it has begun to respond; a test at the gateway and one of the soak.

--- /dev/null
+++ b/pkg/gateway/parts_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/result"
+)
+
+// crashOn begins to respond and drops the connection if a part of the prompt, other than the last one, is the given one.
+func crashOn(part string) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		parts := strings.Split(r.Header.Get("Parts"), ",")
+		w.WriteHeader(http.StatusOK)
+		if slices.Contains(parts[:len(parts)-1], part) {
+			_ = http.NewResponseController(w).Flush()
+			drop(w, r)
+			return
+		}
+		_, _ = w.Write([]byte("id: 1\n\n"))
+	}
+}
+
+// Requests that are all different, and crash every endpoint that begins to respond to them through one part of their prompts,
+// must be refused after a few crashes. Requests with their other parts must be served all the while.
+func TestRequestsThatShareACrashingPartAreRefused(t *testing.T) {
+	b := newTestbed(t, crashOn("bad"))
+	fatal := 0
+	for i := range 20 {
+		own := fmt.Sprint("own-", i)
+		for _, sound := range []string{"first," + own, "first,companion," + own, own} {
+			require.Equal(t, 200, b.do("/stream/x", map[string]string{"Parts": sound}, own).status, sound)
+		}
+		before := b.arrivals()
+		a := b.do("/stream/x", map[string]string{"Parts": "first,companion,bad," + own}, own)
+		if b.arrivals() > before {
+			fatal++
+			b.dispatcher.endpoints[0].Started++
+			continue
+		}
+		require.Equal(t, 503, a.status)
+		require.Equal(t, string(result.NotRun), a.header.Get(headerOutcome))
+	}
+	require.Equal(t, 3, fatal, "requests with the part that reached the endpoint")
+}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -44,7 +44,9 @@
 	adapter string
 	vm      *vm
 	prefix  string
-	// fatal says that the request crashes the endpoints that run it.
+	// prompt holds the parts of the prompt that requests share.
+	prompt []string
+	// fatal says that the request crashes the endpoints that run it, by its body or, if it has a prompt with fatalPart, by that.
 	fatal bool
 	sent  time.Time
 	ended time.Time
@@ -150,6 +152,10 @@
 	if chosen.events > 0 {
 		// Low numbers come more often.
 		a.adapter = fmt.Sprintf("a%d", min(random.IntN(adapterCount), random.IntN(adapterCount)))
+		a.prompt = []string{commonPart}
+		if random.IntN(4) == 0 {
+			a.prompt = append(a.prompt, companionPart)
+		}
 	}
 	c.mu.Lock()
 	a.key = c.keys[a.account]
@@ -192,7 +198,7 @@
 func (c *callers) exchange(ctx context.Context, client *http.Client, a *attempt) {
 	method, body := http.MethodPost, "order "+a.id
 	switch {
-	case a.fatal:
+	case a.fatal && !a.hasFatalPart():
 		body = fatalMark
 	case a.kind.name == "safe":
 		method, body = http.MethodGet, ""
@@ -208,7 +214,10 @@
 	asked := standin.Request{ID: a.id, Key: a.key, Account: "forged", Timeout: a.kind.budget}
 	if a.adapter != "" {
 		asked.Model, asked.Adapter, asked.Output = modelName, a.adapter, 10
-		asked.Prompt = []dialect.PromptPart{{ID: "aa", Tokens: 60}, {ID: a.id, Tokens: 40}}
+		for _, id := range a.prompt {
+			asked.Prompt = append(asked.Prompt, dialect.PromptPart{ID: id, Tokens: 60 / len(a.prompt)})
+		}
+		asked.Prompt = append(asked.Prompt, dialect.PromptPart{ID: a.id, Tokens: 40})
 	}
 	asked.SetHeaders(req.Header)
 	res, err := client.Do(req)
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -20,10 +20,14 @@
 	// that it has crashed is back.
 	fatalPause   = 300 * time.Millisecond
 	crashRestart = 1200 * time.Millisecond
-	// crashesKnown is the number of endpoints that a request must have crashed for it to be known, and
-	// maxAfterKnown the arrivals at endpoints that are allowed once all VMs must know.
-	crashesKnown  = 3
-	maxAfterKnown = 3
+	// commonPart is in the prompts of all streams, companionPart in some of them. Requests with fatalPart have both, and crash
+	// the engines that begin to answer them.
+	commonPart, companionPart, fatalPart = "aa", "cc", "ff"
+	// crashesKnown is the number of endpoints that a request must have crashed for it to be known, partCrashesKnown the same for
+	// a part, and maxAfterKnown the arrivals at endpoints that are allowed once all VMs must know.
+	crashesKnown     = 3
+	partCrashesKnown = 5
+	maxAfterKnown    = 3
 )
 
 // crashedByRequest ends an endpoint that a request has crashed, and starts it again: every second time under its
@@ -64,6 +68,8 @@
 	accepting bool
 	// lasts is for how long it is sent.
 	lasts time.Duration
+	// part says that each sending is another request, and that they crash endpoints by a part of their prompts.
+	part bool
 }
 
 // sendFatal sends the request that crashes endpoints, each time with the same path, key and body.
@@ -78,7 +84,7 @@
 			to = c.w.vms
 		}
 		for n, v := range to {
-			sending.Go(func() { c.send(ctx, client, c.fatal(f.kind, v, fmt.Sprintf("%d-%d", i, n)), false) })
+			sending.Go(func() { c.send(ctx, client, c.fatal(f, v, fmt.Sprintf("%d-%d", i, n)), false) })
 		}
 		sleep(ctx, fatalPause)
 	}
@@ -86,10 +92,14 @@
 }
 
 // fatal returns a request to a VM that crashes the endpoints that run it.
-func (c *callers) fatal(k kind, v *vm, id string) *attempt {
+func (c *callers) fatal(f fatality, v *vm, id string) *attempt {
+	k := f.kind
 	a := &attempt{id: fmt.Sprintf("fatal-%s-%s", k.name, id), kind: k, account: "large", prefix: k.prefix, fatal: true, vm: v}
 	if k.events > 0 {
-		a.adapter = "a0"
+		a.adapter, a.prompt = "a0", []string{commonPart}
+	}
+	if f.part {
+		a.prompt = []string{commonPart, companionPart, fatalPart}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -97,25 +107,35 @@
 	return a
 }
 
-// codeSuspect is the result code of requests that are refused for the endpoints that they have crashed.
-const codeSuspect = "2006"
+// hasFatalPart reports whether the request crashes endpoints by a part of its prompt.
+func (a *attempt) hasFatalPart() bool { return slices.Contains(a.prompt, fatalPart) }
+
+// Result codes of requests that are refused for the endpoints that they, or a part of their prompts, have crashed.
+const (
+	codeSuspect     = "2006"
+	codeSuspectPart = "2008"
+)
 
 // checkCrashes: a request that has crashed three endpoints reaches hardly any more once every VM must know of it. No
 // other request is taken for one that crashes endpoints.
 func (f *findings) checkCrashes(attempts []*attempt) {
 	for _, a := range attempts {
-		if a.code == codeSuspect && !a.fatal {
+		if (a.code == codeSuspect || a.code == codeSuspectPart) && !a.fatal {
 			f.add("accused: %s at %s of %s was refused for the endpoints that it had crashed", a.id, f.at(a.sent), a.vm.name)
 		}
 	}
-	var known time.Time
-	crashes := f.w.audit.Crashes()
-	if len(crashes) >= crashesKnown {
-		known = crashes[crashesKnown-1].At.Add(contactTime)
-	}
 	senders := map[string]*vm{}
+	needed := crashesKnown
 	for _, a := range attempts {
 		senders[a.id] = a.vm
+		if a.hasFatalPart() {
+			needed = partCrashesKnown
+		}
+	}
+	var known time.Time
+	crashes := f.w.audit.Crashes()
+	if len(crashes) >= needed {
+		known = crashes[needed-1].At.Add(contactTime)
 	}
 	late := 0
 	for _, a := range f.w.audit.Arrivals() {
@@ -125,7 +145,7 @@
 	}
 	if late > maxAfterKnown {
 		f.add("crash: a request that had crashed %d endpoints by %s reached endpoints %d times later, and crashed %d in all",
-			crashesKnown, f.at(crashes[crashesKnown-1].At), late, len(crashes))
+			needed, f.at(crashes[needed-1].At), late, len(crashes))
 	}
 }
 
@@ -154,6 +174,20 @@
 	}
 }
 
+// Requests that are all different, and crash every engine that begins to answer them through one part of their prompts, are
+// kept from endpoints once the part has crashed five; requests with only their other parts are served.
+func TestPromptPartThatCrashesEndpointsIsStopped(t *testing.T) {
+	for i, k := range kinds[:2] {
+		f := fatality{kind: k, part: true, atOnce: i%2 == 1, accepting: i%2 == 1, lasts: 12 * time.Second}
+		t.Run(fmt.Sprintf("%s/at_once=%t", k.name, f.atOnce), func(t *testing.T) {
+			t.Parallel()
+			broken, w, c := play(t, plan{seed: 1, vms: 4, callers: 6, calm: 2 * time.Second, fatal: &f})
+			t.Logf("%d endpoints crashed", len(w.audit.Crashes()))
+			report(t, broken, w, c)
+		})
+	}
+}
+
 // The same holds beside faults of VMs, the store and endpoints, and after them: what is known of the request outlives
 // restarts, freezes, cuts and a store that is away.
 func TestRequestThatCrashesEndpointsIsStoppedUnderFaults(t *testing.T) {
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -77,7 +77,7 @@
 		e.SetFaults(standin.EndpointFaults{})
 	}
 	require.Eventually(t, func() bool {
-		a := c.fatal(kinds[3], w.vms[0], fmt.Sprint("after", time.Now().UnixNano()))
+		a := c.fatal(fatality{kind: kinds[3]}, w.vms[0], fmt.Sprint("after", time.Now().UnixNano()))
 		a.fatal = false
 		c.send(ctx, client, a, false)
 		return a.ok()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -190,7 +190,7 @@
 	w.next++
 	cfg := standin.EndpointConfig{
 		ID: fmt.Sprintf("%s-%d", group, w.next), Group: group, FailureDomain: domains[w.next%len(domains)],
-		Slots: 8, RunTime: 10 * time.Millisecond, HeartbeatInterval: heartbeat, CrashText: fatalMark, OnCrash: w.crashedByRequest,
+		Slots: 8, RunTime: 10 * time.Millisecond, HeartbeatInterval: heartbeat, CrashText: fatalMark, CrashPart: fatalPart, OnCrash: w.crashedByRequest,
 	}
 	if before != nil {
 		cfg.ID = before.ID()
