--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -71,6 +71,12 @@
 	heldMemory int64
 	// cachedFingerprint is the request's fingerprint; 0 until it has been computed.
 	cachedFingerprint uint64
+	// cachedParts are the shared parts of the prompt; nil until they have been collected.
+	cachedParts []string
+	// partTrial is the held part as whose trial the request may be sent; 0 if there is none.
+	partTrial uint64
+	// partsServed says that the endpoint has sent a part of its answer.
+	partsServed bool
 	// suspected says that the request is counted as a suspect at its endpoint.
 	suspected bool
 	// maybeCrashed is the incarnation of an endpoint that may have crashed while it ran the request; nil if
@@ -284,8 +290,11 @@
 	return result.New(result.MalformedBody, "the body ended early")
 }
 
-// admit spends the account's tokens.
+// admit refuses a request that must not be sent to any endpoint, and spends the account's tokens.
 func (c *call) admit() chart.Event {
+	if e := c.admitParts(); e != nil {
+		return c.refuse(e)
+	}
 	if c.cost == 0 {
 		return eventAdmit
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -150,6 +150,8 @@
 	logHook      *test.Hook
 	memory       *memory.Budget
 	suspectTable *suspect.Table
+	partTable    *suspect.PartTable
+	prober       suspect.Prober
 }
 
 // handler simulates an endpoint.
@@ -160,6 +162,7 @@
 		t: t, dispatcher: &scriptedDispatcher{}, quota: &fixedAdmitter{balance: 1000}, keysValid: true,
 		retries: retry.NewWindow(10*time.Second, 0, func() float64 { return 3 }), received: make(chan *http.Request, 100),
 		memory: memory.NewBudget(1 << 20), suspectTable: suspect.NewTable(suspect.DirectLimits()),
+		partTable: suspect.NewPartTable("vm"), prober: unknownProber{},
 	}
 	for i, h := range endpoints {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/gateway/parts_test.go
+++ b/pkg/gateway/parts_test.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/result"
+	"github.com/mallowlink/mallowlink/pkg/suspect"
 )
 
 // crashOn begins to respond and drops the connection if a part of the prompt, other than the last one, is the given one.
@@ -26,10 +28,16 @@
 	}
 }
 
+// crashesOf returns the number of crashes held against a part.
+func (b *testbed) crashesOf(part string) int {
+	return len(b.partTable.ReportsOf(time.Now(), suspect.PartFingerprint(part)))
+}
+
 // Requests that are all different, and crash every endpoint that begins to respond to them through one part of their prompts,
 // must be refused after a few crashes. Requests with their other parts must be served all the while.
 func TestRequestsThatShareACrashingPartAreRefused(t *testing.T) {
 	b := newTestbed(t, crashOn("bad"))
+	b.prober = endedProber{}
 	fatal := 0
 	for i := range 20 {
 		own := fmt.Sprint("own-", i)
@@ -41,6 +49,7 @@
 		if b.arrivals() > before {
 			fatal++
 			b.dispatcher.endpoints[0].Started++
+			require.Eventually(t, func() bool { return b.crashesOf("bad") == fatal }, 5*time.Second, time.Millisecond)
 			continue
 		}
 		require.Equal(t, 503, a.status)
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -82,6 +82,7 @@
 	}
 	response := &bufferedResponse{status: c.response.Status, header: c.response.Header, body: body}
 	c.recordServed()
+	c.recordPartsServed()
 	failed := retryableStatus(response.status)
 	if failed {
 		c.logAttempt("failed", errors.Errorf("status %d", response.status))
@@ -105,6 +106,7 @@
 
 // passLong passes on a response that is too long to be buffered. prefix is the part that has been read.
 func (c *call) passLong(prefix []byte) chart.Event {
+	c.recordPartsServed()
 	c.writeHead(c.response.Status, c.response.Header, c.response.Length)
 	if _, err := c.w.Write(prefix); err != nil {
 		return c.callerLeft()
@@ -131,6 +133,9 @@
 			if err != nil {
 				return c.responseCut(err)
 			}
+			if len(complete) > 0 {
+				c.recordPartsServed()
+			}
 			if len(complete) > 0 && !c.writeEvents(complete, flusher) {
 				return c.callerLeft()
 			}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -20,6 +20,12 @@
 		c.endPlacement(Outcome{Canceled: true})
 		return c.refuse(e)
 	}
+	// A part may have become held while the request waited for the endpoint.
+	if e := c.admitParts(); e != nil {
+		c.endPlacement(Outcome{Canceled: true})
+		return c.refuse(e)
+	}
+	c.partTrial, c.partsServed = 0, false
 	c.sentAt, c.headAt = time.Now(), time.Time{}
 	e := c.placement.Endpoint
 	target := upstream.Target{ID: e.ID, Started: e.Started, Address: e.Address}
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
@@ -30,6 +35,13 @@
 	Served(fingerprint uint64)
 	// Responded records that an endpoint has responded to a request that was sent to it at the given time.
 	Responded(id roster.Incarnation, sent time.Time)
+	// AdmitParts decides whether a request with the parts in its prompt may be sent. See suspect.Detector.AdmitParts.
+	AdmitParts(ctx context.Context, parts []string, granted uint64) (decision suspect.Decision, held suspect.HeldPart, trial uint64)
+	// PartsServed records that an endpoint has sent a part of its answer to the request.
+	PartsServed(id, account string, parts []string)
+	// PartsLost records that the endpoint closed or reset the connection of a request, sent at the given time, before
+	// it had sent a part of its answer.
+	PartsLost(e roster.Endpoint, account string, parts []string, sent time.Time)
 	// ConnectionLost records that the endpoint closed or reset the connection of a request, sent at the given time,
 	// before the response was complete. running is for how long the endpoint had been responding.
 	ConnectionLost(e roster.Endpoint, account string, fingerprint uint64, sent time.Time, running time.Duration)
@@ -80,6 +92,9 @@
 	began := time.Now()
 	for {
 		avoid, e := c.isolate()
+		if e == nil {
+			e = c.admitParts()
+		}
 		if e != nil {
 			return Placement{}, e
 		}
@@ -120,6 +135,9 @@
 		running = time.Since(c.headAt)
 	}
 	c.maybeCrashed = &c.placement.Endpoint.Incarnation
+	if !c.partsServed {
+		c.g.cfg.Suspects.PartsLost(c.placement.Endpoint, c.account, c.sharedParts(), c.sentAt)
+	}
 	c.g.cfg.Suspects.ConnectionLost(c.placement.Endpoint, c.account, c.fingerprint(), c.sentAt, running)
 }
 
@@ -137,13 +155,53 @@
 // sharedParts returns the IDs of the parts of the prompt that other requests may share: all but the last one, which belongs
 // to the request or its session.
 func (c *call) sharedParts() []string {
-	if len(c.terms.Prompt) < 2 {
-		return nil
+	if c.cachedParts != nil || len(c.terms.Prompt) < 2 {
+		return c.cachedParts
 	}
-	shared := c.terms.Prompt[:len(c.terms.Prompt)-1]
-	ids := make([]string, len(shared))
-	for i, part := range shared {
-		ids[i] = part.ID
+	shared := c.terms.Prompt[:min(len(c.terms.Prompt)-1, suspect.MaxPartsPerRequest)]
+	for _, part := range shared {
+		if !slices.Contains(c.cachedParts, part.ID) {
+			c.cachedParts = append(c.cachedParts, part.ID)
+		}
+	}
+	return c.cachedParts
+}
+
+// admitParts returns an error if the prompt has a part that crashes endpoints. It waits while that is being decided.
+func (c *call) admitParts() *result.Error {
+	for {
+		decision, held, trial := c.g.cfg.Suspects.AdmitParts(c.ctx, c.sharedParts(), c.partTrial)
+		switch decision {
+		case suspect.Allow:
+			c.partTrial = trial
+			return nil
+		case suspect.Refuse:
+			return c.refusePart(held)
+		}
+		if e := c.abortReason(); e != nil {
+			return e
+		}
+		clock.Sleep(c.ctx, suspectPollInterval)
+	}
+}
+
+// refusePart returns the error for a request with a part that crashes endpoints, and logs what is known of the part.
+func (c *call) refusePart(held suspect.HeldPart) *result.Error {
+	c.g.cfg.Log.WithFields(logrus.Fields{
+		"event": "part_refused", "id": c.terms.ID, "account": c.account, "part": held.Part, "crashes": held.Crashes,
+		"seen_by": strings.Join(held.SeenBy, ","), "age": held.Age.Round(time.Millisecond), "trials": held.Trials,
+		"next_trial": held.NextTrial.Round(time.Millisecond),
+	}).Info("request refused: a part of its prompt crashes endpoints")
+	e := result.New(result.SuspectPart, "endpoints crashed under requests with the prompt part "+held.Part)
+	e.RetryAfter = held.NextTrial
+	return e
+}
+
+// recordPartsServed records that the endpoint has sent a part of its answer, unless it answers with an error.
+func (c *call) recordPartsServed() {
+	if c.partsServed || c.response.Status >= http.StatusMultipleChoices {
+		return
 	}
-	return ids
+	c.partsServed = true
+	c.g.cfg.Suspects.PartsServed(c.terms.ID, c.account, c.sharedParts())
 }
--- a/pkg/gateway/suspects_test.go
+++ b/pkg/gateway/suspects_test.go
@@ -62,11 +62,23 @@
 
 func (unknownProber) Probe(context.Context, roster.Endpoint) suspect.Liveness { return suspect.Unknown }
 
+// Probe implements suspect.Prober.
+func (b *testbed) Probe(ctx context.Context, e roster.Endpoint) suspect.Liveness {
+	return b.prober.Probe(ctx, e)
+}
+
+// endedProber is a prober whose endpoints have all terminated.
+type endedProber struct{}
+
+func (endedProber) Probe(context.Context, roster.Endpoint) suspect.Liveness {
+	return suspect.Terminated
+}
+
 // suspects returns a detector of requests that crash endpoints, for the gateway under test.
 func (b *testbed) suspects() *suspect.Detector {
 	log, _ := test.NewNullLogger()
 	return suspect.NewDetector(b.t.Context(), suspect.DetectorConfig{
-		Table: b.suspectTable, Prober: unknownProber{}, Listed: func(roster.Endpoint) suspect.Listing { return suspect.Current },
+		Table: b.suspectTable, Parts: b.partTable, Prober: b, Listed: func(roster.Endpoint) suspect.Listing { return suspect.Current },
 		OnChange: func() {}, Metrics: metrics.NewRegistry(), Log: log,
 	})
 }
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -314,21 +314,32 @@
 	detector *suspect.Detector
 	syncer   *suspect.Syncer
 	store    *suspect.Store
+	// partSyncer and partStore are the same for parts of prompts.
+	partSyncer *suspect.Syncer
+	partStore  *suspect.Store
 }
 
 func newSuspects(bg background, id identity, p Platform, coord coordination, view *fleetView, out outbound, pp peers, registry metrics.Registry, log logrus.FieldLogger) suspects {
 	table := suspect.NewTable(suspect.DirectLimits())
+	parts := suspect.NewPartTable(id.vm)
+	partSyncer := suspect.NewPartSyncer(id.vm, parts, pp.pool, coord.stewards.Members, log)
 	syncer := suspect.NewSyncer(id.vm, table, pp.pool, coord.stewards.Members, log)
 	detector := suspect.NewDetector(bg, suspect.DetectorConfig{
-		Table: table, Prober: p.NewProber(out.client, view.group), Listed: view.listing, OnChange: syncer.Wake, Metrics: registry, Log: log,
+		Table: table, Parts: parts, Prober: p.NewProber(out.client, view.group), Listed: view.listing, OnChange: syncer.Wake, Metrics: registry, Log: log,
 	})
 	syncer.Attach(detector)
-	return suspects{detector: detector, syncer: syncer, store: suspect.NewStore(syncer, coord.table)}
+	partSyncer.Attach(detector)
+	return suspects{
+		detector: detector, syncer: syncer, store: suspect.NewStore(syncer, coord.table),
+		partSyncer: partSyncer, partStore: suspect.NewStore(partSyncer, coord.table),
+	}
 }
 
 // run shares crash reports with other VMs and with the store until ctx ends.
 func (s suspects) run(ctx context.Context) {
 	go s.store.Run(ctx)
+	go s.partStore.Run(ctx)
+	go s.partSyncer.Run(ctx)
 	s.syncer.Run(ctx)
 }
 
@@ -478,6 +489,7 @@
 		{ratelimit.ServiceName, limits.Service()},
 		{relay.ServiceName, n.Service()},
 		{suspect.ServiceName, sus.syncer.Service()},
+		{suspect.PartServiceName, sus.partSyncer.Service()},
 	}
 	for _, service := range services {
 		if err := pp.server.Register(service.name, service.receiver); err != nil {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -34,6 +34,7 @@
 	DeadlinePassed  Code = 2005
 	Suspect         Code = 2006
 	RetryBudget     Code = 2007
+	SuspectPart     Code = 2008
 	NoEndpoint      Code = 3001
 	EndpointFailed  Code = 3002
 	AnswerCut       Code = 3003
@@ -70,6 +71,7 @@
 	{DeadlinePassed, "deadline-passed", http.StatusGatewayTimeout, MayHaveRun, "Look up whether the request took effect before sending it again."},
 	{Suspect, "suspect-request", http.StatusServiceUnavailable, NotRun, "The same request crashed endpoints; change it or wait."},
 	{RetryBudget, "retry-budget-spent", http.StatusServiceUnavailable, MayHaveRun, "Send again after the time in Retry-After."},
+	{SuspectPart, "suspect-part", http.StatusServiceUnavailable, NotRun, "A part of the prompt crashed endpoints; leave it out or wait."},
 	{NoEndpoint, "no-endpoint", http.StatusServiceUnavailable, NotRun, "Send again after the time in Retry-After."},
 	{EndpointFailed, "endpoint-failed", http.StatusBadGateway, MayHaveRun, "Look up whether the request took effect before sending it again."},
 	{AnswerCut, "answer-cut", http.StatusBadGateway, MayHaveRun, "The answer is not whole; send the request again if it may run twice."},
--- a/pkg/suspect/detector.go
+++ b/pkg/suspect/detector.go
@@ -50,7 +50,9 @@
 
 // DetectorConfig is the configuration of a crash detector.
 type DetectorConfig struct {
-	Table  *Table
+	Table *Table
+	// Parts holds the crashes held against parts of prompts; nil for an empty table.
+	Parts  *PartTable
 	Prober Prober
 	// Listed returns what the list of endpoints says of an endpoint incarnation.
 	Listed func(e roster.Endpoint) Listing
@@ -78,6 +80,10 @@
 	served *recentlyServed
 	// decidesTrials reports whether this VM decides when a refused request is tried again. It is set before the first use.
 	decidesTrials func(fingerprint uint64) bool
+	// requestPartTrial reports whether this VM may run one request with a held part. onPartChange is called when there may be
+	// something new to report on parts. They are set before the first use.
+	requestPartTrial func(ctx context.Context, fingerprint uint64) bool
+	onPartChange     func()
 	// reconcileCrashTime reports a crash to other VMs, and returns the earliest time at which any of them saw it. It is set
 	// before the first use.
 	reconcileCrashTime func(crash string, seen time.Time) time.Time
@@ -91,24 +97,43 @@
 // detectorMetrics count the results of checks and the decisions on requests.
 type detectorMetrics struct {
 	crashed, alive, refused, cleared metrics.Counter
+	partsRefused, partsCleared       metrics.Counter
 }
 
 // Metric names.
 const (
-	metricCrashed = "suspect.endpoints_ended"
-	metricAlive   = "suspect.endpoints_alive"
-	metricRefused = "suspect.refused"
-	metricCleared = "suspect.cleared"
+	metricCrashed      = "suspect.endpoints_ended"
+	metricAlive        = "suspect.endpoints_alive"
+	metricRefused      = "suspect.refused"
+	metricCleared      = "suspect.cleared"
+	metricPartsRefused = "suspect.parts_refused"
+	metricPartsCleared = "suspect.parts_cleared"
+	metricPartsHeld    = "suspect.parts_held"
 )
 
 // NewDetector returns a crash detector. Its checks stop when ctx ends.
 func NewDetector(ctx context.Context, cfg DetectorConfig) *Detector {
+	if cfg.Parts == nil {
+		cfg.Parts = NewPartTable("")
+	}
+	held := func() int64 { return int64(len(cfg.Parts.Held(time.Now()))) }
+	cfg.Metrics.GetOrRegister(metricPartsHeld, func() metrics.Gauge { return metrics.NewFunctionalGauge(held) })
+	cfg.Parts.onHeld = func(h HeldPart) {
+		cfg.Log.WithFields(h.logFields("part_held")).Warn("endpoints crashed under requests with the prompt part; requests with it are refused")
+	}
+	cfg.Parts.onExplained = func(h HeldPart, by string) {
+		cfg.Log.WithFields(h.logFields("part_explained")).WithField("by", by).Info("crashes held against the prompt part are explained by another part")
+	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
 	return &Detector{
 		cfg: cfg, ctx: ctx, served: newRecentlyServed(), decidesTrials: func(uint64) bool { return true },
-		reconcileCrashTime: func(_ string, seen time.Time) time.Time { return seen }, checks: map[roster.Incarnation]*livenessCheck{}, confirmedCrashes: map[string]time.Time{},
+		reconcileCrashTime: func(_ string, seen time.Time) time.Time { return seen },
+		requestPartTrial:   func(_ context.Context, fingerprint uint64) bool { return cfg.Parts.AllowTrial(time.Now(), fingerprint) },
+		onPartChange:       func() {},
+		checks:             map[roster.Incarnation]*livenessCheck{}, confirmedCrashes: map[string]time.Time{},
 		metrics: detectorMetrics{
 			crashed: counter(metricCrashed), alive: counter(metricAlive), refused: counter(metricRefused), cleared: counter(metricCleared),
+			partsRefused: counter(metricPartsRefused), partsCleared: counter(metricPartsCleared),
 		},
 	}
 }
@@ -178,14 +203,23 @@
 // markAlive retracts the crash from requests whose connections were lost before sent, a time at which the endpoint is
 // known to have been alive, unless that is so much later that the endpoint may have restarted. d.mu is held.
 func (d *Detector) markAlive(c *livenessCheck, sent time.Time) {
-	for fingerprint, r := range c.affected {
+	for a, r := range c.affected {
 		if sent.After(r.lostAt) && sent.Sub(r.lostAt) < minRestartTime {
-			delete(c.affected, fingerprint)
-			d.cfg.Table.Retract(fingerprint, crashID(c.endpoint))
+			delete(c.affected, a)
+			d.retract(a, crashID(c.endpoint))
 		}
 	}
 }
 
+// retract removes a crash that turned out not to have happened, or not while the request ran.
+func (d *Detector) retract(a affected, crash string) {
+	if a.part != "" {
+		d.cfg.Parts.Retract(time.Now(), a.fingerprint, crash)
+		return
+	}
+	d.cfg.Table.Retract(a.fingerprint, crash)
+}
+
 // crashID identifies the crash of an endpoint incarnation, in the same way on all VMs.
 func crashID(e roster.Endpoint) string { return e.ID + "/" + strconv.FormatInt(e.Started, 10) }
 
@@ -195,10 +229,29 @@
 	if running >= minSafeRunTime || d.cfg.Listed(e) == Leaving {
 		return
 	}
-	now := time.Now()
-	if d.served.contains(fingerprint, now) {
+	if d.served.contains(fingerprint, time.Now()) {
 		return
 	}
+	d.recordLoss(e, account, sent, affected{fingerprint: fingerprint})
+}
+
+// PartsLost records that the connection of a request, sent at the given time, was lost on the endpoint's side before the endpoint
+// had sent a part of its answer. parts are those of the request's prompt that other requests may share.
+func (d *Detector) PartsLost(e roster.Endpoint, account string, parts []string, sent time.Time) {
+	if len(parts) == 0 || d.cfg.Listed(e) == Leaving {
+		return
+	}
+	list := make([]affected, len(parts))
+	for i, part := range parts {
+		list[i] = affected{fingerprint: PartFingerprint(part), part: part}
+	}
+	d.recordLoss(e, account, sent, list...)
+}
+
+// recordLoss holds the possible crash of an endpoint against what a lost connection carried, and finds out whether the endpoint
+// has crashed.
+func (d *Detector) recordLoss(e roster.Endpoint, account string, sent time.Time, lost ...affected) {
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.checks[e.Incarnation]
@@ -207,18 +260,45 @@
 		// The endpoint had already crashed, or lost a connection that is still being checked, when the request was sent.
 		return
 	}
-	d.cfg.Table.AddObservedCrash(now, account, fingerprint, crashID(e))
+	for _, a := range lost {
+		d.addObservedCrash(now, account, a, crashID(e), confirmed)
+	}
 	if confirmed {
-		d.cfg.OnChange()
+		d.notifyChange()
 		return
 	}
 	if c == nil {
-		c = &livenessCheck{endpoint: e, done: make(chan struct{}), firstLost: now, affected: map[uint64]affectedRequest{}}
+		c = &livenessCheck{endpoint: e, done: make(chan struct{}), firstLost: now, affected: map[affected]affectedRequest{}}
 		d.checks[e.Incarnation] = c
 		d.openChecks.Add(1)
 		go d.runCheck(c)
 	}
-	c.affected[fingerprint] = affectedRequest{sent, now}
+	for _, a := range lost {
+		r := affectedRequest{sent, now}
+		// A part is held to the first request with it: the others may have been sent after the crash.
+		if before, known := c.affected[a]; known && a.part != "" && before.sentAt.Before(sent) {
+			r.sentAt = before.sentAt
+		}
+		c.affected[a] = r
+	}
+}
+
+// addObservedCrash holds a crash against a request or a part.
+func (d *Detector) addObservedCrash(now time.Time, account string, a affected, crash string, confirmed bool) {
+	if a.part == "" {
+		d.cfg.Table.AddObservedCrash(now, account, a.fingerprint, crash)
+		return
+	}
+	d.cfg.Parts.AddObservedCrash(now, account, a.part, crash)
+	if confirmed {
+		d.cfg.Parts.ConfirmCrash(now, a.fingerprint, crash)
+	}
+}
+
+// notifyChange says that there may be something new to report to the other VMs.
+func (d *Detector) notifyChange() {
+	d.cfg.OnChange()
+	d.onPartChange()
 }
 
 // unconfirmedCrashes returns the possible crashes that this VM is still checking. They are not reported to other VMs.
@@ -270,6 +350,7 @@
 // Sweep removes expired crashes and clearances from the table, and the times of confirmed crashes if there are too many.
 func (d *Detector) Sweep(now time.Time) {
 	d.cfg.Table.Sweep(now)
+	d.cfg.Parts.Sweep(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.confirmedCrashes) > maxKnownCrashTimes {
--- a/pkg/suspect/guard.go
+++ b/pkg/suspect/guard.go
@@ -12,6 +12,10 @@
 // ServiceName is the name under which Service, or the service of VMs that dispatch directly, is registered with net/rpc.
 const ServiceName = "Suspect"
 
+// PartServiceName is the name under which VMs that dispatch directly register the service for crashes held against parts of
+// prompts.
+const PartServiceName = "SuspectPart"
+
 const (
 	// announceTimeout bounds one announcement to all peers.
 	announceTimeout = 2 * time.Second
--- a/pkg/suspect/liveness_check.go
+++ b/pkg/suspect/liveness_check.go
@@ -40,8 +40,14 @@
 	done chan struct{}
 	// firstLost is when the first connection was lost.
 	firstLost time.Time
-	// affected are the requests, by fingerprint, that may have been in flight at a crash.
-	affected map[uint64]affectedRequest
+	// affected are the requests and parts of prompts that may have been in flight at a crash.
+	affected map[affected]affectedRequest
+}
+
+// affected is a request, or a part of a prompt if part is not empty.
+type affected struct {
+	fingerprint uint64
+	part        string
 }
 
 // affectedRequest holds when a request was sent, and when its connection was lost.
@@ -121,17 +127,20 @@
 	d.mu.Lock()
 	d.closeCheck(c)
 	d.confirmedCrashes[crash] = crashedAt
-	for fingerprint, r := range c.affected {
-		if r.sentAt.After(crashedAt) {
-			delete(c.affected, fingerprint)
-			d.cfg.Table.Retract(fingerprint, crash)
+	for a, r := range c.affected {
+		switch {
+		case r.sentAt.After(crashedAt):
+			delete(c.affected, a)
+			d.retract(a, crash)
+		case a.part != "":
+			d.cfg.Parts.ConfirmCrash(time.Now(), a.fingerprint, crash)
 		}
 	}
 	fields := d.logFields(c, "endpoint_ended", why)
 	d.mu.Unlock()
 	d.metrics.crashed.Inc(1)
 	d.cfg.Log.WithFields(fields).Warn("endpoint crashed or is unresponsive")
-	d.cfg.OnChange()
+	d.notifyChange()
 }
 
 // closeCheck ends a check. d.mu is held.
@@ -175,6 +184,17 @@
 func (d *Detector) logFields(c *livenessCheck, event, why string) logrus.Fields {
 	return logrus.Fields{
 		"event": event, "endpoint": c.endpoint.ID, "started": c.endpoint.Started, "why": why,
-		"requests": len(c.affected), "took": time.Since(c.firstLost).Round(time.Millisecond),
+		"requests": len(c.affected) - c.parts(), "parts": c.parts(), "took": time.Since(c.firstLost).Round(time.Millisecond),
+	}
+}
+
+// parts returns the number of parts that are affected. The detector's mu is held.
+func (c *livenessCheck) parts() int {
+	n := 0
+	for a := range c.affected {
+		if a.part != "" {
+			n++
+		}
 	}
+	return n
 }
--- /dev/null
+++ b/pkg/suspect/part_admission.go
@@ -0,0 +1,82 @@
+package suspect
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// AdmitParts decides whether a request with the parts in its prompt may be sent to an endpoint. With Refuse, held is the part that
+// forbids it. With Wait, the decision is due soon. trial is the fingerprint of the held part that the request may be sent with as
+// a trial, 0 if there is none: it is passed as granted until the request has been sent.
+func (d *Detector) AdmitParts(ctx context.Context, parts []string, granted uint64) (decision Decision, held HeldPart, trial uint64) {
+	decision, list := d.cfg.Parts.Admit(time.Now(), parts)
+	if decision != Refuse {
+		return decision, HeldPart{}, granted
+	}
+	if len(list) == 1 && (list[0].Fingerprint == granted || d.tryPart(ctx, list[0])) {
+		return Allow, HeldPart{}, list[0].Fingerprint
+	}
+	// A trial that has been granted to another VM may be about to clear the part.
+	if decision, list = d.cfg.Parts.Admit(time.Now(), parts); decision != Refuse {
+		return decision, HeldPart{}, granted
+	}
+	held = list[0]
+	d.cfg.Parts.CountRefusal(held.Fingerprint)
+	d.metrics.partsRefused.Inc(1)
+	return Refuse, held, 0
+}
+
+// tryPart reports whether a request may be sent as a trial of a held part.
+func (d *Detector) tryPart(ctx context.Context, held HeldPart) bool {
+	if !d.cfg.Parts.TrialDue(time.Now(), held.Fingerprint) {
+		return false
+	}
+	if !d.requestPartTrial(ctx, held.Fingerprint) {
+		d.cfg.Parts.NoteTrial(time.Now(), held.Fingerprint)
+		return false
+	}
+	d.cfg.Log.WithFields(held.logFields("part_tried")).Info("request with a held prompt part allowed as a trial")
+	return true
+}
+
+// PartsServed records that an endpoint has sent a part of its answer to a request with the parts in its prompt, which shows that
+// the parts do not crash every endpoint. id is the request's identifier, for the log.
+func (d *Detector) PartsServed(id, account string, parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	cleared := d.cfg.Parts.Served(time.Now(), account, parts)
+	for _, part := range cleared {
+		d.metrics.partsCleared.Inc(1)
+		fields := part.logFields("part_cleared")
+		fields["id"], fields["was_held"] = id, part.WasHeld
+		d.cfg.Log.WithFields(fields).Info("endpoint has begun its answer to a request with the part; its crashes are cleared")
+	}
+	if len(cleared) > 0 {
+		d.onPartChange()
+	}
+}
+
+// HeldParts returns the held parts.
+func (d *Detector) HeldParts() []HeldPart { return d.cfg.Parts.Held(time.Now()) }
+
+// ReleasePart clears a part of its crashes on all VMs, on behalf of an operator. It reports whether there were any.
+func (d *Detector) ReleasePart(part string) bool {
+	if !d.cfg.Parts.Release(time.Now(), part) {
+		return false
+	}
+	d.cfg.Log.WithFields(logrus.Fields{"event": "part_released", "part": part}).Warn("operator released a prompt part")
+	d.onPartChange()
+	return true
+}
+
+// logFields returns the log fields for a decision on a part.
+func (h HeldPart) logFields(event string) logrus.Fields {
+	return logrus.Fields{
+		"event": event, "part": h.Part, "fingerprint": FormatFingerprint(h.Fingerprint), "crashes": h.Crashes,
+		"seen_by": strings.Join(h.SeenBy, ","), "age": h.Age.Round(time.Millisecond), "trials": h.Trials,
+	}
+}
--- /dev/null
+++ b/pkg/suspect/parts.go
@@ -0,0 +1,677 @@
+package suspect
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// partCrashes is the number of crashes from which a part is held.
+	partCrashes = 3
+	// maxCrashesPerPart bounds the crashes recorded for one part.
+	maxCrashesPerPart = 16
+	// MaxPartsPerRequest bounds the parts of one request that are considered.
+	MaxPartsPerRequest = 64
+	// maxPartEntries bounds the parts in a PartTable.
+	maxPartEntries = 2048
+	// maxPartName bounds the recorded length of a part's ID, in bytes.
+	maxPartName = 64
+	// partSettleTime is the time between the crash that makes a part held and the first refusal. Within it, the reports of other
+	// VMs arrive, on this part and on those that were there at the same crashes; requests with it wait.
+	partSettleTime = 100 * time.Millisecond
+	// trialWait bounds the time for which requests with a part that cannot be told from another one wait for its trial.
+	trialWait = 500 * time.Millisecond
+	// usualPeriod is the time for which a part that was served is taken for one that has been sound.
+	usualPeriod = 2 * time.Minute
+	// usualSpread is the least time between the first and the last crash held against a part that had been served before: many
+	// endpoints that end at once say nothing of the parts that all requests share.
+	usualSpread = time.Second
+	// usualReportDelay is the time after which a crash is reported to other VMs if the part had been served before. Most such
+	// parts are served again within it.
+	usualReportDelay = 300 * time.Millisecond
+	// heldRetention is how long a held part is kept after its last crash.
+	heldRetention = 24 * time.Hour
+)
+
+// partTrialDelays are the times for which a part must have been held before each of its trials, since the latest crash or trial.
+// The first trials come early, since a sound part may be held by coincidence.
+var partTrialDelays = [...]time.Duration{time.Second, 5 * time.Second, confirmedTrialDelay}
+
+// confirmedTrialDelay is the delay of a trial after one that has crashed an endpoint.
+const confirmedTrialDelay = 30 * time.Minute
+
+// PartTable records the crashes held against parts of prompts, which different requests share. A part is held, and requests with
+// it are refused, once partCrashes endpoints have crashed while requests with it had received nothing, and it has not been served
+// since. It is safe for concurrent use.
+type PartTable struct {
+	self string
+	// size is the number of entries. It is read without mu, so that requests cost nothing extra while there are none.
+	size   atomic.Int64
+	served *servedParts
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	entries    map[uint64]*partEntry
+	perAccount map[string]int
+	held       map[uint64]*partEntry
+	// onHeld is called when a part becomes held, onExplained when a held part explains the crashes held against another. They
+	// are set before the first use and must not block.
+	onHeld      func(HeldPart)
+	onExplained func(part HeldPart, by string)
+}
+
+// partEntry is the state of one part.
+type partEntry struct {
+	fingerprint uint64
+	// part is the part's ID, shortened.
+	part    string
+	account string
+	// crashes are those since the part was last served, oldest first. pending are the possible ones that this VM still checks:
+	// they count once they are confirmed, when other VMs hear of them and can say whether they have served the part.
+	crashes, pending []partCrash
+	// clearedAt is when the part was served after a crash; crashes up to then are not held against it.
+	clearedAt time.Time
+	// servedAt is when any VM is known to have served the part last.
+	servedAt time.Time
+	// observed says that this VM itself has seen a crash or a response, so that it reports what is recorded.
+	observed bool
+	// spread says that several crashes were held against the part at some time, so that all VMs may know of it.
+	spread bool
+	// heldSince is when the part became held; zero if it is not.
+	heldSince time.Time
+	// settled says that partSettleTime has passed since.
+	settled   bool
+	trials    int
+	lastTrial time.Time
+	// refusals counts the requests that this VM has refused.
+	refusals int64
+}
+
+// partCrash is a crash held against a part. local says that no other VM has reported it to this one.
+type partCrash struct {
+	id, seenBy string
+	at         time.Time
+	local      bool
+}
+
+// NewPartTable returns an empty PartTable of the VM with the ID self.
+func NewPartTable(self string) *PartTable {
+	return &PartTable{
+		self: self, served: newServedParts(), entries: map[uint64]*partEntry{}, perAccount: map[string]int{}, held: map[uint64]*partEntry{},
+		onHeld: func(HeldPart) {}, onExplained: func(HeldPart, string) {},
+	}
+}
+
+// PartFingerprint identifies a part of prompts. It is never 0.
+func PartFingerprint(part string) uint64 { return max(1, xxhash.Sum64String("part/"+part)) }
+
+// Empty reports whether the table has no entries.
+func (t *PartTable) Empty() bool { return t.size.Load() == 0 }
+
+// HeldPart describes a held part.
+type HeldPart struct {
+	// Part is the part's ID, shortened.
+	Part        string
+	Fingerprint uint64
+	Crashes     int
+	// SeenBy lists the VMs that saw the crashes.
+	SeenBy []string
+	// Age is the time since the latest crash, HeldFor the time since the part became held, NextTrial the time until the fleet
+	// may try the part again.
+	Age, HeldFor, NextTrial time.Duration
+	Trials                  int
+	Refusals                int64
+}
+
+// Admit decides whether a request with the parts may run. The held parts are those that forbid it. With Wait, the decision is due
+// within partSettleTime.
+func (t *PartTable) Admit(now time.Time, parts []string) (Decision, []HeldPart) {
+	if t.Empty() {
+		return Allow, nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle(now)
+	decision := Allow
+	var held []*partEntry
+	for _, part := range parts {
+		e := t.lookup(now, PartFingerprint(part))
+		switch {
+		case e == nil || e.heldSince.IsZero():
+		case !e.settled:
+			decision = max(decision, Wait)
+		default:
+			decision = Refuse
+			held = append(held, e)
+		}
+	}
+	if len(held) == 1 && t.shadowed(held[0]) && held[0].trials > 0 && now.Sub(held[0].lastTrial) < trialWait {
+		return Wait, nil
+	}
+	described := make([]HeldPart, len(held))
+	for i, e := range held {
+		described[i] = t.describe(now, e)
+	}
+	return decision, described
+}
+
+// settle completes the holds whose partSettleTime has passed. The caller holds mu.
+func (t *PartTable) settle(now time.Time) {
+	for _, e := range t.held {
+		if !e.settled && now.Sub(e.heldSince) >= partSettleTime {
+			e.settled = true
+			t.explainAway(now, e)
+		}
+	}
+}
+
+// shadowed reports whether another held part was there at all crashes held against e, so that either may be the cause. The
+// caller holds mu.
+func (t *PartTable) shadowed(e *partEntry) bool {
+	for _, other := range t.held {
+		missing := slices.ContainsFunc(e.crashes, func(c partCrash) bool { return indexOf(other.crashes, c.id) < 0 })
+		if other != e && !missing {
+			return true
+		}
+	}
+	return false
+}
+
+// CountRefusal counts a refusal of a request with the part.
+func (t *PartTable) CountRefusal(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[fingerprint]; e != nil {
+		e.refusals++
+	}
+}
+
+// describe returns the description of an entry. The caller holds mu.
+func (t *PartTable) describe(now time.Time, e *partEntry) HeldPart {
+	h := HeldPart{
+		Part: e.part, Fingerprint: e.fingerprint, Crashes: len(e.crashes), Age: now.Sub(e.lastCrash()), HeldFor: now.Sub(e.heldSince),
+		NextTrial: max(0, t.trialDue(e).Sub(now)), Trials: e.trials, Refusals: e.refusals,
+	}
+	for _, c := range e.crashes {
+		if !slices.Contains(h.SeenBy, c.seenBy) {
+			h.SeenBy = append(h.SeenBy, c.seenBy)
+		}
+	}
+	slices.Sort(h.SeenBy)
+	return h
+}
+
+// AddObservedCrash records a crash that this VM has seen, of an endpoint from which a request of the account with the part had
+// received nothing. The crash counts from ConfirmCrash on.
+func (t *PartTable) AddObservedCrash(now time.Time, account, part, crash string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fingerprint := PartFingerprint(part)
+	e := t.entryOf(now, fingerprint, account, part)
+	e.servedAt, e.observed = latest(e.servedAt, t.served.at(fingerprint)), true
+	if indexOf(e.crashes, crash) < 0 && indexOf(e.pending, crash) < 0 && len(e.pending) < maxCrashesPerPart {
+		e.pending = append(e.pending, partCrash{id: crash, seenBy: t.self, at: now, local: true})
+	}
+	t.update(now, e)
+}
+
+// ConfirmCrash records that an endpoint did crash.
+func (t *PartTable) ConfirmCrash(now time.Time, fingerprint uint64, crash string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[fingerprint]
+	if e == nil {
+		return
+	}
+	if i := indexOf(e.pending, crash); i >= 0 {
+		c := e.pending[i]
+		e.pending = slices.Delete(e.pending, i, i+1)
+		t.addCrash(e, c)
+		t.update(now, e)
+	}
+}
+
+// Retract removes a possible crash, after the endpoint has turned out not to have crashed.
+func (t *PartTable) Retract(now time.Time, fingerprint uint64, crash string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[fingerprint]
+	if e == nil {
+		return
+	}
+	e.pending = slices.DeleteFunc(e.pending, func(c partCrash) bool { return c.id == crash })
+	t.update(now, e)
+}
+
+// ClearedPart describes a part whose crashes are no longer held against it.
+type ClearedPart struct {
+	HeldPart
+	WasHeld bool
+}
+
+// Served records that an endpoint has sent a part of its answer to a request of the account with the parts. It returns the parts
+// that this has cleared of crashes.
+func (t *PartTable) Served(now time.Time, account string, parts []string) []ClearedPart {
+	for _, part := range parts {
+		t.served.add(account, PartFingerprint(part), now)
+	}
+	if t.Empty() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cleared []ClearedPart
+	for _, part := range parts {
+		fingerprint := PartFingerprint(part)
+		e := t.lookup(now, fingerprint)
+		if e == nil {
+			continue
+		}
+		if len(e.crashes) > 0 {
+			cleared = append(cleared, ClearedPart{t.describe(now, e), !e.heldSince.IsZero()})
+		}
+		e.servedAt, e.observed = now, true
+		e.clear(now)
+		t.update(now, e)
+	}
+	return cleared
+}
+
+// Release removes the crashes held against a part, on behalf of an operator. It reports whether there were any.
+func (t *PartTable) Release(now time.Time, part string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fingerprint := PartFingerprint(part)
+	e := t.lookup(now, fingerprint)
+	if e == nil || len(e.crashes) == 0 {
+		return false
+	}
+	e.observed, e.spread = true, true
+	e.clear(now)
+	t.update(now, e)
+	return true
+}
+
+// Record records a report of another VM, or of a stored row. A crash that this VM knows to be older than a response to the part
+// does not count.
+func (t *PartTable) Record(now time.Time, r CrashReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now.Add(-max(0, r.Age))
+	if r.Cleared {
+		if e := t.entries[r.Fingerprint]; e != nil {
+			e.servedAt = latest(e.servedAt, at)
+			e.clear(at)
+			t.update(now, e)
+		}
+		return
+	}
+	e := t.entryOf(now, r.Fingerprint, r.Account, r.Part)
+	if r.ServedAge > 0 {
+		e.servedAt = latest(e.servedAt, now.Add(-r.ServedAge))
+	}
+	if known := t.served.at(r.Fingerprint); known.After(e.servedAt) {
+		e.servedAt, e.observed = known, true
+	}
+	if e.servedAt.After(at) || len(e.crashes) > 0 && e.servedAt.After(e.crashes[0].at) {
+		e.clear(e.servedAt)
+	}
+	if r.Trials > e.trials {
+		e.trials, e.lastTrial = r.Trials, now.Add(-max(0, r.TrialAge))
+	}
+	t.addCrash(e, partCrash{id: r.Crash, seenBy: r.SeenBy, at: at})
+	t.update(now, e)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// entryOf returns the entry of a part, and creates it if there is none. The caller holds mu.
+func (t *PartTable) entryOf(now time.Time, fingerprint uint64, account, part string) *partEntry {
+	if e := t.lookup(now, fingerprint); e != nil {
+		return e
+	}
+	t.evict(account)
+	e := &partEntry{fingerprint: fingerprint, part: strings.ToValidUTF8(part[:min(len(part), maxPartName)], ""), account: account}
+	t.entries[fingerprint] = e
+	t.perAccount[account]++
+	t.size.Add(1)
+	return e
+}
+
+// addCrash records a crash unless it is known, older than a response to the part, or explained by another part. The caller holds
+// mu.
+func (t *PartTable) addCrash(e *partEntry, c partCrash) {
+	if i := indexOf(e.crashes, c.id); i >= 0 {
+		e.crashes[i].local = e.crashes[i].local && c.local
+		return
+	}
+	if !c.at.After(e.clearedAt) || t.explained(e, c.id) || len(e.crashes) == maxCrashesPerPart {
+		return
+	}
+	e.crashes = append(e.crashes, c)
+	slices.SortStableFunc(e.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
+	e.spread = e.spread || len(e.crashes) >= broadcastThreshold
+}
+
+// indexOf returns the index of a crash, or -1.
+func indexOf(crashes []partCrash, id string) int {
+	return slices.IndexFunc(crashes, func(c partCrash) bool { return c.id == id })
+}
+
+// clear removes the crashes up to the given time, at which the part was served or released. Without such crashes nothing is
+// recorded: two VMs that report a clearance to each other would otherwise never cease.
+func (e *partEntry) clear(at time.Time) {
+	before := len(e.crashes)
+	old := func(c partCrash) bool { return !c.at.After(at) }
+	e.crashes, e.pending = slices.DeleteFunc(e.crashes, old), slices.DeleteFunc(e.pending, old)
+	if len(e.crashes) == before {
+		return
+	}
+	e.clearedAt = latest(e.clearedAt, at)
+	if len(e.crashes) == 0 {
+		e.trials, e.lastTrial, e.refusals = 0, time.Time{}, 0
+	}
+}
+
+// lastCrash returns the time of the latest crash; zero if there is none.
+func (e *partEntry) lastCrash() time.Time {
+	if len(e.crashes) == 0 {
+		return time.Time{}
+	}
+	return e.crashes[len(e.crashes)-1].at
+}
+
+// usual reports whether the part had been served for some time before its first crash.
+func (e *partEntry) usual() bool {
+	return len(e.crashes) > 0 && !e.servedAt.IsZero() && e.crashes[0].at.Sub(e.servedAt) < usualPeriod
+}
+
+// isHeld reports whether the crashes suffice to hold the part. One that has had a trial was held before.
+func (e *partEntry) isHeld() bool {
+	return len(e.crashes) >= partCrashes && (e.trials > 0 || !e.usual() || e.lastCrash().Sub(e.crashes[0].at) >= usualSpread)
+}
+
+// update brings an entry into the state that follows from its crashes, and deletes it if nothing is recorded. The caller holds mu.
+func (t *PartTable) update(now time.Time, e *partEntry) {
+	t.setHeld(now, e)
+	for _, holder := range t.held {
+		if holder.settled {
+			t.explainAway(now, holder)
+		}
+	}
+	if e.empty() {
+		t.remove(e)
+	}
+}
+
+// empty reports whether nothing is recorded of the part.
+func (e *partEntry) empty() bool {
+	return len(e.crashes) == 0 && len(e.pending) == 0 && e.clearedAt.IsZero()
+}
+
+// setHeld records when a part becomes held, or is no longer. The caller holds mu.
+func (t *PartTable) setHeld(now time.Time, e *partEntry) {
+	switch {
+	case !e.isHeld():
+		e.heldSince, e.settled = time.Time{}, false
+		delete(t.held, e.fingerprint)
+	case e.heldSince.IsZero():
+		e.heldSince = now
+		t.held[e.fingerprint] = e
+		t.onHeld(t.describe(now, e))
+	}
+}
+
+// explains reports whether a held part, of which all reports have arrived, is the more likely cause of the crashes that it shares with e: it has never been served
+// and e has, or it was there at more crashes.
+func (holder *partEntry) explains(e *partEntry) bool {
+	return holder != e && !holder.usual() && (e.usual() || len(holder.crashes) > len(e.crashes))
+}
+
+// explained reports whether a held part explains a crash that is to be held against e. The caller holds mu.
+func (t *PartTable) explained(e *partEntry, crash string) bool {
+	for _, holder := range t.held {
+		if holder.settled && indexOf(holder.crashes, crash) >= 0 && holder.explains(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// explainAway removes the crashes that a held part explains from the other parts, which only accompanied it. The caller holds mu.
+func (t *PartTable) explainAway(now time.Time, holder *partEntry) {
+	for _, e := range t.entries {
+		if len(e.crashes) == 0 || !holder.explains(e) {
+			continue
+		}
+		before := t.describe(now, e)
+		e.crashes = slices.DeleteFunc(e.crashes, func(c partCrash) bool { return indexOf(holder.crashes, c.id) >= 0 })
+		if len(e.crashes) < before.Crashes {
+			t.onExplained(before, holder.part)
+		}
+		t.setHeld(now, e)
+		if e.empty() {
+			t.remove(e)
+		}
+	}
+}
+
+// Refused reports whether requests with the part are refused.
+func (t *PartTable) Refused(now time.Time, fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle(now)
+	e := t.lookup(now, fingerprint)
+	return e != nil && e.settled
+}
+
+// Retention returns how long a held part is kept.
+func (t *PartTable) Retention() time.Duration { return heldRetention }
+
+// MarkObserved marks what is recorded of the part as seen by this VM itself, so that it is reported to other VMs.
+func (t *PartTable) MarkObserved(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[fingerprint]; e != nil {
+		e.observed = true
+	}
+}
+
+// Reports returns reports of the crashes and clearances of all parts.
+func (t *PartTable) Reports(now time.Time) []CrashReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []CrashReport
+	for _, e := range t.entries {
+		list = append(list, e.reports(now)...)
+	}
+	return list
+}
+
+// ReportsOf returns reports of the crashes of one part, and of its clearance.
+func (t *PartTable) ReportsOf(now time.Time, fingerprint uint64) []CrashReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.lookup(now, fingerprint); e != nil {
+		return e.reports(now)
+	}
+	return nil
+}
+
+// reports returns reports of the crashes of e, and of its clearance.
+func (e *partEntry) reports(now time.Time) []CrashReport {
+	base := CrashReport{Account: e.account, Fingerprint: e.fingerprint, Part: e.part, Witnessed: e.observed, Trials: e.trials, spread: e.spread}
+	if !e.servedAt.IsZero() {
+		base.ServedAge = max(1, now.Sub(e.servedAt))
+	}
+	if e.trials > 0 {
+		base.TrialAge = now.Sub(e.lastTrial)
+	}
+	var list []CrashReport
+	if !e.clearedAt.IsZero() {
+		r := base
+		r.Cleared, r.Age, r.clearedAt = true, now.Sub(e.clearedAt), e.clearedAt
+		list = append(list, r)
+	}
+	for _, c := range e.crashes {
+		if c.local && e.usual() && now.Sub(c.at) < usualReportDelay {
+			continue
+		}
+		r := base
+		r.Crash, r.SeenBy, r.Age = c.id, c.seenBy, now.Sub(c.at)
+		list = append(list, r)
+	}
+	return list
+}
+
+// trialDue returns when the next trial of a held part is due: at once if the part cannot be told from another one, and in a day
+// once there have been all. The caller holds mu.
+func (t *PartTable) trialDue(e *partEntry) time.Time {
+	since := latest(latest(e.lastCrash(), e.lastTrial), e.heldSince)
+	switch {
+	case e.trials >= len(partTrialDelays):
+		return since.Add(heldRetention)
+	case e.trials > 0 && e.lastCrash().After(e.lastTrial):
+		return since.Add(confirmedTrialDelay)
+	case e.trials == 0 && t.shadowed(e):
+		return e.heldSince.Add(partSettleTime)
+	}
+	return since.Add(partTrialDelays[e.trials])
+}
+
+// TrialDue reports whether a trial of a held part is due.
+func (t *PartTable) TrialDue(now time.Time, fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.lookup(now, fingerprint)
+	return e != nil && !e.heldSince.IsZero() && e.trials < len(partTrialDelays) && !now.Before(t.trialDue(e))
+}
+
+// AllowTrial reports whether one request with a held part may run as a trial, and counts the trial if so.
+func (t *PartTable) AllowTrial(now time.Time, fingerprint uint64) bool {
+	if !t.TrialDue(now, fingerprint) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[fingerprint]
+	if e == nil || now.Before(t.trialDue(e)) {
+		return false
+	}
+	e.trials++
+	e.lastTrial, e.observed = now, true
+	return true
+}
+
+// NoteTrial records that another VM may be trying a part that cannot be told from another one.
+func (t *PartTable) NoteTrial(now time.Time, fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[fingerprint]; e != nil && e.trials == 0 && !e.heldSince.IsZero() && t.shadowed(e) {
+		e.trials, e.lastTrial = 1, now
+	}
+}
+
+// Held returns the held parts, those with the most crashes first.
+func (t *PartTable) Held(now time.Time) []HeldPart {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []HeldPart
+	for _, e := range t.held {
+		list = append(list, t.describe(now, e))
+	}
+	slices.SortFunc(list, func(a, b HeldPart) int {
+		if a.Crashes != b.Crashes {
+			return b.Crashes - a.Crashes
+		}
+		return strings.Compare(a.Part, b.Part)
+	})
+	return list
+}
+
+// Sweep removes expired crashes and clearances.
+func (t *PartTable) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for fingerprint, e := range t.entries {
+		if now.Sub(e.clearedAt) >= clearanceRetention {
+			e.clearedAt = time.Time{}
+		}
+		if t.lookup(now, fingerprint) != nil && e.empty() {
+			t.remove(e)
+		}
+	}
+}
+
+// lookup returns the entry of a part, or nil, after it has removed expired crashes. The caller holds mu.
+func (t *PartTable) lookup(now time.Time, fingerprint uint64) *partEntry {
+	e := t.entries[fingerprint]
+	if e == nil {
+		return nil
+	}
+	retention := DirectRetention
+	if !e.heldSince.IsZero() {
+		retention = heldRetention
+	}
+	if len(e.crashes) > 0 && now.Sub(e.lastCrash()) >= retention {
+		e.crashes = nil
+		t.setHeld(now, e)
+		if e.empty() {
+			t.remove(e)
+		}
+	}
+	return t.entries[fingerprint]
+}
+
+// remove deletes an entry. The caller holds mu.
+func (t *PartTable) remove(e *partEntry) {
+	if t.entries[e.fingerprint] != e {
+		return
+	}
+	delete(t.entries, e.fingerprint)
+	delete(t.held, e.fingerprint)
+	t.size.Add(-1)
+	if t.perAccount[e.account]--; t.perAccount[e.account] == 0 {
+		delete(t.perAccount, e.account)
+	}
+}
+
+// evict removes entries until the table has room for one more: those of the account with the most entries, and among them the
+// one with the fewest crashes, so that no account can displace the parts of others. account is the one to make room for, preferred
+// among equals. The caller holds mu.
+func (t *PartTable) evict(account string) {
+	for len(t.entries) >= maxPartEntries {
+		largest := account
+		for name, n := range t.perAccount {
+			if n > t.perAccount[largest] {
+				largest = name
+			}
+		}
+		var victim *partEntry
+		for _, e := range t.entries {
+			if e.account == largest && (victim == nil || e.lessSuspect(victim)) {
+				victim = e
+			}
+		}
+		t.remove(victim)
+	}
+}
+
+// lessSuspect orders entries for eviction: by the number of crashes, then by the age of the latest.
+func (e *partEntry) lessSuspect(other *partEntry) bool {
+	if len(e.crashes) != len(other.crashes) {
+		return len(e.crashes) < len(other.crashes)
+	}
+	return e.lastCrash().Before(other.lastCrash())
+}
--- /dev/null
+++ b/pkg/suspect/served_parts.go
@@ -0,0 +1,63 @@
+package suspect
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// servedPartsPeriod is the least time for which a served part is remembered; it is remembered for at most twice as long.
+	servedPartsPeriod = time.Minute
+	// maxServedParts bounds the parts remembered from one servedPartsPeriod, and maxServedPartsPerAccount those that one client
+	// account can add.
+	maxServedParts           = 16384
+	maxServedPartsPerAccount = 1024
+)
+
+// servedParts remembers when parts of prompts were last served on this VM, in two generations. It is safe for concurrent use.
+type servedParts struct {
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	current, previous map[uint64]time.Time
+	perAccount        map[string]int
+	currentSince      time.Time
+}
+
+func newServedParts() *servedParts {
+	return &servedParts{current: map[uint64]time.Time{}, perAccount: map[string]int{}}
+}
+
+// add records that a request of the account with the part was served. A new part is ignored if the account, or the current
+// generation, is full.
+func (s *servedParts) add(account string, fingerprint uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rotate(now)
+	if _, known := s.current[fingerprint]; !known {
+		if len(s.current) >= maxServedParts || s.perAccount[account] >= maxServedPartsPerAccount {
+			return
+		}
+		s.perAccount[account]++
+	}
+	s.current[fingerprint] = now
+}
+
+// at returns when the part was last served; zero if that is not remembered.
+func (s *servedParts) at(fingerprint uint64) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.current[fingerprint]; ok {
+		return at
+	}
+	return s.previous[fingerprint]
+}
+
+// rotate starts a new generation if the current one is older than servedPartsPeriod. s.mu is held.
+func (s *servedParts) rotate(now time.Time) {
+	if now.Sub(s.currentSince) < servedPartsPeriod {
+		return
+	}
+	s.previous, s.current = s.current, map[uint64]time.Time{}
+	s.perAccount, s.currentSince = map[string]int{}, now
+}
--- a/pkg/suspect/store.go
+++ b/pkg/suspect/store.go
@@ -18,8 +18,12 @@
 )
 
 const (
-	// rowPrefix is the prefix of the keys of the rows that hold refused requests.
-	rowPrefix = "suspect/"
+	// rowPrefix is the prefix of the keys of the rows that hold refused requests, partRowPrefix of those that hold parts.
+	rowPrefix     = "suspect/"
+	partRowPrefix = "suspect-part/"
+	// storedTrials is the number of trials that a part has had that is read from a row: the first ones follow the crashes at
+	// once, and are not made again after a restart of all VMs.
+	storedTrials = len(partTrialDelays) - 1
 	// rowInterval is the time between two passes over the rows, which are listed anyway for other purposes. Each pass writes
 	// or deletes at most one row.
 	rowInterval = 500 * time.Millisecond
@@ -42,6 +46,7 @@
 type Store struct {
 	syncer *Syncer
 	rows   rowTable
+	prefix string
 	now    func() time.Time
 	// stored are the requests that the table holds; deleted are the versions, by key, of rows that this VM has deleted or found
 	// to be gone. lost are the requests whose rows the table has lost by returning from an older copy in a new generation.
@@ -55,13 +60,18 @@
 // error in it changes how long the request is refused, and nothing else.
 type storedRequest struct {
 	Account string    `json:"account"`
+	Part    string    `json:"part,omitempty"`
 	Crashes []string  `json:"crashes"`
 	Seen    time.Time `json:"seen"`
 }
 
-// NewStore returns a store for the refused requests of syncer, in the platform's table.
+// NewStore returns a store for the refused requests, or held parts, of syncer, in the platform's table.
 func NewStore(syncer *Syncer, rows rowTable) *Store {
-	return &Store{syncer: syncer, rows: rows, now: time.Now, stored: map[uint64]bool{}, deleted: map[string]uint64{}, lost: map[uint64]bool{}}
+	prefix := rowPrefix
+	if syncer.service == PartServiceName {
+		prefix = partRowPrefix
+	}
+	return &Store{syncer: syncer, rows: rows, prefix: prefix, now: time.Now, stored: map[uint64]bool{}, deleted: map[string]uint64{}, lost: map[uint64]bool{}}
 }
 
 // Run keeps the rows and the crash reports of this VM consistent until ctx ends.
@@ -93,7 +103,7 @@
 		held[row.Key] = true
 	}
 	for fingerprint := range s.stored {
-		if key := rowPrefix + FormatFingerprint(fingerprint); !held[key] {
+		if key := s.prefix + FormatFingerprint(fingerprint); !held[key] {
 			delete(s.stored, fingerprint)
 			s.lost[fingerprint] = true
 			s.syncer.log.WithFields(logrus.Fields{"event": "suspect_row_lost", "key": key, "generation": generation}).Warn("row of a refused request is lost; it is written again if the request is still refused")
@@ -105,20 +115,20 @@
 // one whose crashes are no longer held against the request, which would be refused again once a VM restarts.
 func (s *Store) applyRows() (obsolete platform.Row, found bool) {
 	generation := s.rows.CachedGeneration()
-	rows := s.rows.Cached(rowPrefix)
+	rows := s.rows.Cached(s.prefix)
 	s.findLostRows(generation, rows)
 	for _, row := range rows {
 		if s.deleted[row.Key] == row.Version {
 			continue
 		}
-		fingerprint, req, err := decodeRow(row)
+		fingerprint, req, err := s.decodeRow(row)
 		if err != nil {
 			s.syncer.log.WithError(err).WithFields(logrus.Fields{"event": "suspect_row_malformed", "key": row.Key}).Warn("deleting malformed row of a refused request")
 			obsolete, found = row, true
 			continue
 		}
 		age := max(0, s.now().Sub(req.Seen))
-		if age >= s.syncer.table.limits.Retention {
+		if age >= s.syncer.table.Retention() {
 			obsolete, found = row, true
 			continue
 		}
@@ -129,9 +139,14 @@
 			continue
 		}
 		s.stored[fingerprint] = true
+		known := s.syncer.summaryOf(s.now(), fingerprint).crashes > 0
 		var reports []CrashReport
 		for _, crash := range req.Crashes {
-			reports = append(reports, CrashReport{Account: req.Account, Fingerprint: fingerprint, Crash: crash, Age: age})
+			r := CrashReport{Account: req.Account, Fingerprint: fingerprint, Part: req.Part, Crash: crash, Age: age}
+			if req.Part != "" && !known {
+				r.Trials, r.TrialAge = storedTrials, age
+			}
+			reports = append(reports, r)
 		}
 		s.syncer.apply("table", reports)
 		// Only a few VMs list the table. They report the request to the others as if they had seen it themselves.
@@ -141,8 +156,8 @@
 }
 
 // decodeRow returns the fingerprint and the request that a row holds.
-func decodeRow(row platform.Row) (uint64, storedRequest, error) {
-	fingerprint, err := strconv.ParseUint(strings.TrimPrefix(row.Key, rowPrefix), 16, 64)
+func (s *Store) decodeRow(row platform.Row) (uint64, storedRequest, error) {
+	fingerprint, err := strconv.ParseUint(strings.TrimPrefix(row.Key, s.prefix), 16, 64)
 	if err != nil {
 		return 0, storedRequest{}, errors.Wrap(err, "parse row key")
 	}
@@ -158,12 +173,15 @@
 func (s *Store) nextUnstored() (uint64, storedRequest, bool) {
 	members := s.syncer.members()
 	for fingerprint, reports := range s.syncer.reportsByRequest() {
-		if len(reports) < s.syncer.table.limits.Crashes || s.stored[fingerprint] || !s.lost[fingerprint] && !s.syncer.shouldStore(members, fingerprint) {
+		if !s.syncer.table.Refused(s.now(), fingerprint) || s.stored[fingerprint] || !s.lost[fingerprint] && !s.syncer.shouldStore(members, fingerprint) {
 			continue
 		}
-		req := storedRequest{Account: reports[0].Account, Seen: s.now().Add(-reports[0].Age)}
+		last := reports[len(reports)-1]
+		req := storedRequest{Account: last.Account, Part: last.Part, Seen: s.now().Add(-last.Age)}
 		for _, r := range reports {
-			req.Crashes = append(req.Crashes, r.Crash)
+			if !r.Cleared {
+				req.Crashes = append(req.Crashes, r.Crash)
+			}
 		}
 		return fingerprint, req, true
 	}
@@ -190,7 +208,7 @@
 		s.syncer.log.WithError(err).WithField("event", "suspect_not_stored").Error("could not encode refused request")
 		return
 	}
-	key := rowPrefix + FormatFingerprint(fingerprint)
+	key := s.prefix + FormatFingerprint(fingerprint)
 	err = s.commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
--- a/pkg/suspect/syncer.go
+++ b/pkg/suspect/syncer.go
@@ -24,6 +24,8 @@
 	// syncTimeout bounds a call with crash reports, syncRetryDelay is the time after which a failed one is repeated.
 	syncTimeout    = 500 * time.Millisecond
 	syncRetryDelay = 300 * time.Millisecond
+	// trialTimeout bounds the call that asks for a trial of a held part.
+	trialTimeout = 100 * time.Millisecond
 	// crashTimeTimeout bounds the calls that report when a crash was seen.
 	crashTimeTimeout = 200 * time.Millisecond
 	// minSyncInterval is the pause after each pass over all VMs, which bounds the rate of passes while many endpoints crash.
@@ -36,13 +38,61 @@
 	sweepInterval = 5 * time.Second
 )
 
-// Syncer exchanges crash reports with the other VMs that dispatch directly. Each request has homesPerRequest home VMs, chosen
+// crashRecord is what a Syncer keeps equal on all VMs: the crashes held against requests, or against parts of prompts.
+type crashRecord interface {
+	// Empty reports whether there is nothing to report.
+	Empty() bool
+	// Reports returns all reports, ReportsOf those of one request or part.
+	Reports(now time.Time) []CrashReport
+	ReportsOf(now time.Time, fingerprint uint64) []CrashReport
+	// Record records a report of another VM or of a stored row.
+	Record(now time.Time, r CrashReport)
+	// MarkObserved marks what is recorded as seen by this VM itself.
+	MarkObserved(fingerprint uint64)
+	// Refused reports whether the request, or requests with the part, are refused.
+	Refused(now time.Time, fingerprint uint64) bool
+	// Retention returns how long a refusal lasts.
+	Retention() time.Duration
+}
+
+// requestRecord is the crashRecord of requests. A crash is not held against a request that this VM has recently served: a
+// clearance is recorded instead.
+type requestRecord struct {
+	*Table
+	detector *Detector
+}
+
+// Record implements crashRecord.
+func (t *requestRecord) Record(now time.Time, r CrashReport) {
+	at := now.Add(-max(0, r.Age))
+	switch {
+	case r.Cleared:
+		t.Clear(at, r.Fingerprint)
+	case t.detector.served.contains(r.Fingerprint, now):
+		t.RecordClearance(now, r.Account, r.Fingerprint)
+	default:
+		t.AddReportedCrash(at, r.Account, r.Fingerprint, r.Crash)
+	}
+}
+
+// Refused implements crashRecord.
+func (t *requestRecord) Refused(now time.Time, fingerprint uint64) bool {
+	decision, _ := t.Admit(now, fingerprint)
+	return decision == Refuse
+}
+
+// Retention implements crashRecord.
+func (t *requestRecord) Retention() time.Duration { return t.limits.Retention }
+
+// Syncer exchanges crash reports with the other VMs that dispatch directly. Each request, or part of a prompt, has homesPerRequest home VMs, chosen
 // by rendezvous hash, which count its crashes for the whole fleet and notify all VMs of a request with several crashes. What
 // was sent is remembered for each incarnation of a VM. What could not be sent is sent later: to VMs that were unreachable,
 // have just started, or were paused. All methods are safe for concurrent use.
 type Syncer struct {
-	self       string
-	table      *Table
+	self string
+	// service is the name of the net/rpc service by which the VMs exchange the reports.
+	service    string
+	table      crashRecord
 	detector   *Detector
 	peerClient peer.Client
 	members    func() []membership.Member
@@ -68,21 +118,41 @@
 type summary struct {
 	crashes int
 	cleared bool
+	// The fields below are 0 for requests. clearedAt is in Unix nanoseconds.
+	clearedAt int64
+	usual     bool
+	trials    int
+	spread    bool
 }
 
-// NewSyncer returns the syncer of the VM with the ID self. members returns all known VMs.
+// NewSyncer returns the syncer of the crashes held against requests, for the VM with the ID self. members returns all known VMs.
 func NewSyncer(self string, table *Table, peerClient peer.Client, members func() []membership.Member, log logrus.FieldLogger) *Syncer {
+	return newSyncer(self, ServiceName, &requestRecord{Table: table}, peerClient, members, log)
+}
+
+// NewPartSyncer returns the syncer of the crashes held against parts of prompts.
+func NewPartSyncer(self string, table *PartTable, peerClient peer.Client, members func() []membership.Member, log logrus.FieldLogger) *Syncer {
+	return newSyncer(self, PartServiceName, table, peerClient, members, log)
+}
+
+func newSyncer(self, service string, table crashRecord, peerClient peer.Client, members func() []membership.Member, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
-		self: self, table: table, peerClient: peerClient, members: members, log: log, wake: make(chan struct{}, 1),
+		self: self, service: service, table: table, peerClient: peerClient, members: members, log: log, wake: make(chan struct{}, 1),
 		sent: map[peerIncarnation]map[uint64]summary{}, lastFailure: map[peerIncarnation]time.Time{}, inFlight: map[peerIncarnation]bool{}, crashTimes: map[string]time.Time{},
 		callSlots: make(chan struct{}, maxParallelCalls),
 	}
 }
 
-// Attach connects s to the detector whose crashes it reports. From then on, trials of a refused request are decided by the
-// first home of the request only. It must be called before Run.
+// Attach connects s to the detector whose crashes it reports. From then on, trials of a refused request or part are decided by
+// its first home only. It must be called before Run.
 func (s *Syncer) Attach(d *Detector) {
 	s.detector = d
+	if requests, ok := s.table.(*requestRecord); ok {
+		requests.detector = d
+	} else {
+		d.requestPartTrial, d.onPartChange = s.requestTrial, s.Wake
+		return
+	}
 	d.decidesTrials = func(fingerprint uint64) bool {
 		homes := homesOf(s.members(), fingerprint)
 		return len(homes) > 0 && homes[0] == s.self
@@ -100,7 +170,9 @@
 
 // Run sends reports to the other VMs until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
-	go clock.Every(ctx, sweepInterval, s.detector.Sweep)
+	if s.service == ServiceName {
+		go clock.Every(ctx, sweepInterval, s.detector.Sweep)
+	}
 	ticker := time.NewTicker(syncPollInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -189,10 +261,15 @@
 
 // summarize sums up the reports on one request, of which there must be at least one.
 func summarize(reports []CrashReport) summary {
-	if reports[0].Cleared {
-		return summary{cleared: true}
+	first := reports[0]
+	s := summary{crashes: len(reports), usual: first.ServedAge > 0, trials: first.Trials, spread: first.spread || first.Part == ""}
+	if first.Cleared {
+		s.cleared, s.crashes = true, len(reports)-1
 	}
-	return summary{crashes: len(reports)}
+	if !first.clearedAt.IsZero() {
+		s.clearedAt = first.clearedAt.UnixNano()
+	}
+	return s
 }
 
 // shouldReport reports whether this VM sends its reports on a request to the given VM. The homes of the request receive them
@@ -202,7 +279,7 @@
 	if slices.Contains(homes, vm) && (home || reports[0].Witnessed) {
 		return true
 	}
-	return home && (state.cleared || state.crashes >= broadcastThreshold)
+	return home && (state.cleared && state.spread || state.crashes >= broadcastThreshold)
 }
 
 // homesOf returns the IDs of the VMs that count a request's crashes, by rendezvous hash of ID and fingerprint, in order of
@@ -236,7 +313,7 @@
 	defer cancel()
 	id := peerIncarnation{m.ID, m.Incarnation}
 	var reply ListReply
-	err := s.peerClient.Call(ctx, m.PeerAddress, ServiceName+".Tell", &ReportArgs{From: s.self, Notices: batch}, &reply)
+	err := s.peerClient.Call(ctx, m.PeerAddress, s.service+".Tell", &ReportArgs{From: s.self, Notices: batch}, &reply)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, id)
@@ -258,37 +335,40 @@
 	s.apply(m.ID, reply.Notices)
 }
 
-// apply records reports from another VM. from is its ID, or "table" if they were read from the platform's table. A crash is
-// not held against a request that this VM has recently served: a clearance is recorded and reported instead.
+// apply records reports from another VM. from is its ID, or "table" if they were read from the platform's table.
 func (s *Syncer) apply(from string, reports []CrashReport) {
 	now := time.Now()
 	changed := false
 	for _, r := range reports {
-		at := now.Add(-max(0, r.Age))
 		before := s.summaryOf(now, r.Fingerprint)
-		switch {
-		case r.Cleared:
-			s.table.Clear(at, r.Fingerprint)
-		case s.detector.served.contains(r.Fingerprint, now):
-			s.table.RecordClearance(now, r.Account, r.Fingerprint)
-		default:
-			s.table.AddReportedCrash(at, r.Account, r.Fingerprint, r.Crash)
-		}
+		s.table.Record(now, r)
 		after := s.summaryOf(now, r.Fingerprint)
 		if after == before {
 			continue
 		}
 		changed = true
-		s.log.WithFields(logrus.Fields{
-			"event": "suspect_told", "from": from, "fingerprint": FormatFingerprint(r.Fingerprint), "account": r.Account,
-			"crash": r.Crash, "cleared": r.Cleared, "crashes": after.crashes, "age": r.Age.Round(time.Millisecond),
-		}).Info("crash report changed the state of a request")
+		s.logReport(from, r, after)
 	}
 	if changed {
 		s.Wake()
 	}
 }
 
+// logReport logs a report of another VM that has changed the state of a request or of a part.
+func (s *Syncer) logReport(from string, r CrashReport, after summary) {
+	fields := logrus.Fields{
+		"event": "suspect_told", "from": from, "fingerprint": FormatFingerprint(r.Fingerprint), "account": r.Account,
+		"crash": r.Crash, "cleared": r.Cleared, "crashes": after.crashes, "age": r.Age.Round(time.Millisecond),
+	}
+	if r.Part == "" {
+		s.log.WithFields(fields).Info("crash report changed the state of a request")
+		return
+	}
+	fields["event"], fields["part"], fields["seen_by"] = "part_told", r.Part, r.SeenBy
+	fields["served_before"], fields["trials"] = after.usual, after.trials
+	s.log.WithFields(fields).Info("crash report changed the state of a prompt part")
+}
+
 // summaryOf returns the state of a request; it is empty if nothing is known of it.
 func (s *Syncer) summaryOf(now time.Time, fingerprint uint64) summary {
 	if held := s.table.ReportsOf(now, fingerprint); len(held) > 0 {
@@ -328,3 +408,44 @@
 	}
 	return nil
 }
+
+// TrialArgs asks the home of a held part whether one request with it may run.
+type TrialArgs struct{ Fingerprint uint64 }
+
+// TrialReply is the reply to TrialArgs.
+type TrialReply struct{ Granted bool }
+
+// requestTrial reports whether this VM may run one request with a held part, as the part's first home decides.
+func (s *Syncer) requestTrial(ctx context.Context, fingerprint uint64) bool {
+	members := s.members()
+	homes := homesOf(members, fingerprint)
+	if len(homes) == 0 || homes[0] == s.self {
+		return s.grantTrial(fingerprint)
+	}
+	home := members[slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == homes[0] })]
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	var reply TrialReply
+	if err := s.peerClient.Call(ctx, home.PeerAddress, s.service+".Trial", &TrialArgs{fingerprint}, &reply); err != nil {
+		s.log.WithError(err).WithFields(logrus.Fields{"event": "trial_not_asked", "to": home.ID, "fingerprint": FormatFingerprint(fingerprint)}).Info("could not ask for a trial of a held prompt part")
+		return false
+	}
+	return reply.Granted
+}
+
+// grantTrial grants a trial of a part if one is due.
+func (s *Syncer) grantTrial(fingerprint uint64) bool {
+	parts, ok := s.table.(*PartTable)
+	if !ok || !parts.AllowTrial(time.Now(), fingerprint) {
+		return false
+	}
+	s.Wake()
+	return true
+}
+
+// Trial decides on a trial that another VM asks for.
+func (s *SyncService) Trial(args *TrialArgs, reply *TrialReply) error {
+	homes := homesOf(s.syncer.members(), args.Fingerprint)
+	reply.Granted = len(homes) > 0 && homes[0] == s.syncer.self && s.syncer.grantTrial(args.Fingerprint)
+	return nil
+}
--- a/pkg/suspect/syncer_test.go
+++ b/pkg/suspect/syncer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -57,6 +58,7 @@
 	fleet           *testFleet
 	detector        *Detector
 	syncer          *Syncer
+	partSyncer      *Syncer
 	stop            context.CancelFunc
 }
 
@@ -86,6 +88,9 @@
 	vm.syncer = NewSyncer(vm.id, vm.detector.cfg.Table, vm, f.members, log)
 	vm.detector.cfg.OnChange = vm.syncer.Wake
 	vm.syncer.Attach(vm.detector)
+	vm.detector.cfg.Parts.self = vm.id
+	vm.partSyncer = NewPartSyncer(vm.id, vm.detector.cfg.Parts, vm, f.members, log)
+	vm.partSyncer.Attach(vm.detector)
 	f.mu.Lock()
 	if old := f.vms[i]; old != nil {
 		old.stop()
@@ -94,6 +99,8 @@
 	f.mu.Unlock()
 	go vm.syncer.Run(ctx)
 	go NewStore(vm.syncer, vm).Run(ctx)
+	go vm.partSyncer.Run(ctx)
+	go NewStore(vm.partSyncer, vm).Run(ctx)
 }
 
 func (f *testFleet) members() []membership.Member {
@@ -123,20 +130,25 @@
 		<-ctx.Done()
 		return peer.ErrUnreachable
 	}
-	if method == ServiceName+".End" {
+	switch method {
+	case ServiceName + ".End":
 		return target.syncer.Service().End(args.(*EndArgs), reply.(*EndReply))
+	case PartServiceName + ".Tell":
+		return target.partSyncer.Service().Tell(args.(*ReportArgs), reply.(*ListReply))
+	case PartServiceName + ".Trial":
+		return target.partSyncer.Service().Trial(args.(*TrialArgs), reply.(*TrialReply))
 	}
 	return target.syncer.Service().Tell(args.(*ReportArgs), reply.(*ListReply))
 }
 
 // Cached implements rowTable.
-func (vm *testVM) Cached(string) []platform.Row {
+func (vm *testVM) Cached(prefix string) []platform.Row {
 	f := vm.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var rows []platform.Row
 	for _, row := range f.rows {
-		if !f.tableDown && slices.Index(f.vms, vm) < f.listingVMs {
+		if !f.tableDown && slices.Index(f.vms, vm) < f.listingVMs && strings.HasPrefix(row.Key, prefix) {
 			rows = append(rows, row)
 		}
 	}
--- a/pkg/suspect/table.go
+++ b/pkg/suspect/table.go
@@ -314,6 +314,18 @@
 	Witnessed bool
 	// Age is how long ago the crash or response was seen.
 	Age time.Duration
+	// The fields below are set in reports on parts of prompts only. Part is the part's ID, shortened; SeenBy the VM that has seen
+	// the crash. ServedAge is how long ago the part was last served, 0 if it is not known to have been. Trials counts the trials
+	// of a held part, TrialAge is how long ago the latest was.
+	Part      string
+	SeenBy    string
+	ServedAge time.Duration
+	Trials    int
+	TrialAge  time.Duration
+
+	// clearedAt and spread are the state of a part's entry. They are not sent.
+	clearedAt time.Time
+	spread    bool
 }
 
 // Reports returns reports of the crashes and clearances of all requests.
