Streams that end inside an event are broken off; errors do not continue a stream

Callers saw: a stream whose endpoint ended inside an event looked complete, with the half event as its last; a response without length or chunks whose endpoint crashed before its first event looked like an empty stream.

Cause: the end of a stream passed on whatever followed its last event if it looked like fields. A response counted as the rest of a stream by its status alone. A response that is passed on as it arrives could be resumed like a stream.

Change: only an empty rest ends a stream; without a stated end, a stream has at least one event. The rest of a stream has the media type of its beginning. A response that is not a stream is not resumed. Events that end with CRLF are passed on as they arrive, no longer all at the end.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -6,8 +6,8 @@
 	"github.com/go-faster/errors"
 )
 
-// eventEnd terminates a server-sent event.
-var eventEnd = []byte("\n\n")
+// eventEnds are the texts that terminate a server-sent event: an empty line after the end of a line.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
 // eventIDField is the name of the field with an event's ID.
 var eventIDField = []byte("id:")
@@ -32,14 +32,18 @@
 // the next call. The error says that the stream does not consist of events.
 func (e *eventSplitter) split(part []byte) ([]byte, error) {
 	e.pending = append(e.pending, part...)
-	end := bytes.LastIndex(e.pending, eventEnd)
-	if end < 0 {
+	end := 0
+	for _, text := range eventEnds {
+		if at := bytes.LastIndex(e.pending, text); at >= 0 {
+			end = max(end, at+len(text))
+		}
+	}
+	if end == 0 {
 		if len(e.pending) > maxEvent {
 			return nil, errEndlessEvent
 		}
 		return nil, nil
 	}
-	end += len(eventEnd)
 	complete := bytes.Clone(e.pending[:end])
 	e.pending = append(e.pending[:0], e.pending[end:]...)
 	if err := e.validate(complete); err != nil {
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +34,10 @@
 type relay struct {
 	// headSent says that the head has been passed on.
 	headSent bool
+	// mediaType is the media type of a stream of which the head has been passed on; empty if it states none.
+	mediaType string
+	// whole says that a response that is not a stream is being passed on, which no other endpoint can continue.
+	whole bool
 	// lastEvent is the ID of the last complete event passed on, for a stream that can be resumed.
 	lastEvent string
 	events    eventSplitter
@@ -41,19 +47,26 @@
 
 // passResponse passes the response on to the caller.
 func (c *call) passResponse() chart.Event {
-	if c.route.Stream && c.response.Status < http.StatusMultipleChoices {
-		return c.passStream()
-	}
-	if c.relay.headSent {
+	stream := c.route.Stream && c.response.Status < http.StatusMultipleChoices
+	switch {
+	case c.relay.headSent && (!stream || c.relay.mediaType != "" && c.relay.mediaType != mediaType(c.response.Header)):
 		return c.notResumed()
+	case stream:
+		return c.passStream()
 	}
 	return c.passWhole()
 }
 
+// mediaType returns the media type that a header states, without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // notResumed handles a response that does not continue a stream of which the caller has already received a
 // part.
 func (c *call) notResumed() chart.Event {
-	c.logAttempt("not_resumed", errors.Errorf("status %d", c.response.Status))
+	c.logAttempt("not_resumed", errors.Errorf("status %d, media type %q", c.response.Status, mediaType(c.response.Header)))
 	c.closeResponse(Outcome{Failed: retryableStatus(c.response.Status)})
 	event := c.retry(result.New(result.AnswerCut, "no endpoint went on with the stream"))
 	if event == eventAgain {
@@ -107,6 +120,7 @@
 // passLong passes on a response that is too long to be buffered. prefix is the part that has been read.
 func (c *call) passLong(prefix []byte) chart.Event {
 	c.recordPartsServed()
+	c.relay.whole = true
 	c.writeHead(c.response.Status, c.response.Header, c.response.Length)
 	if _, err := c.w.Write(prefix); err != nil {
 		return c.callerLeft()
@@ -184,15 +198,19 @@
 	return true
 }
 
+// errStreamCut says that a stream was broken off: it ended inside an event, or with its connection before the first event.
+var errStreamCut = errors.Wrap(io.ErrUnexpectedEOF, "stream ended before its end")
+
 // endStream handles the end of a stream.
 func (c *call) endStream() chart.Event {
-	if err := c.relay.events.validate(c.relay.events.rest()); err != nil {
-		return c.responseCut(err)
+	rest := c.relay.events.rest()
+	if len(bytes.TrimSpace(rest)) > 0 || !c.partsServed && !c.response.Framed() {
+		return c.responseCut(errStreamCut)
 	}
 	if !c.relay.headSent {
 		c.writeHead(c.response.Status, c.response.Header, -1)
 	}
-	if rest := c.relay.events.rest(); len(rest) > 0 {
+	if len(rest) > 0 {
 		_, _ = c.w.Write(rest)
 	}
 	c.recordServed()
@@ -210,7 +228,7 @@
 	c.reportBrokenConnection(err)
 	c.closeResponse(Outcome{Failed: true, FirstByte: c.firstByte})
 	broken := result.New(result.AnswerCut, "the endpoint's answer broke off")
-	if c.relay.headSent && !c.route.Resumable {
+	if c.relay.headSent && (!c.route.Resumable || c.relay.whole) {
 		return c.fail(broken)
 	}
 	c.relay.events.discardPending()
@@ -233,7 +251,7 @@
 	if c.relay.headSent {
 		return
 	}
-	c.relay.headSent = true
+	c.relay.headSent, c.relay.mediaType = true, mediaType(header)
 	out := c.w.Header()
 	for name, values := range c.g.cfg.Dialect.Return(header) {
 		out[name] = values
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -264,11 +264,13 @@
 	a.client.pools.put(a.target, a.conn, now)
 }
 
+// Framed reports whether the response states where its body ends. Otherwise the body ends with the connection.
+func (a *Response) Framed() bool { return a.Length >= 0 || len(a.resp.TransferEncoding) > 0 }
+
 // reusable reports whether the connection is in a state to carry another request: the response has been read to
 // a stated end, the endpoint keeps the connection open, and no further bytes have arrived.
 func (a *Response) reusable() bool {
-	framed := a.Length >= 0 || len(a.resp.TransferEncoding) > 0
-	return a.complete && framed && !a.resp.Close && !a.Info.Closes && a.conn.reader.Buffered() == 0
+	return a.complete && a.Framed() && !a.resp.Close && !a.Info.Closes && a.conn.reader.Buffered() == 0
 }
 
 // abandon closes the connection of a request that has failed.
