--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -65,6 +65,7 @@
 		Header: c.g.cfg.Dialect.Forward(c.r.Header, delivery),
 		Body:   c.body,
 		ID:     c.terms.ID,
+		Echoed: c.terms.ID != "",
 	}
 }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -27,6 +27,9 @@
 	Body   []byte
 	// ID is the request identifier that the endpoint echoes.
 	ID string
+	// Echoed says that the endpoint echoes the identifier in each response. A response without one on a connection that has been
+	// used before may then be an earlier one, sent again.
+	Echoed bool
 }
 
 // Error says that no response to the request has arrived.
@@ -193,7 +196,7 @@
 			return errors.Wrap(err, "read head")
 		}
 		info := a.client.dialect.Judge(resp.StatusCode, resp.Header)
-		if info.RequestID == "" || info.RequestID == req.ID {
+		if info.RequestID == req.ID || info.RequestID == "" && !(req.Echoed && a.conn.used) {
 			a.resp, a.Info = resp, info
 			a.client.reportResponse(a, req.ID)
 			a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -104,7 +104,7 @@
 }
 
 func request(id string) Request {
-	return Request{Method: http.MethodPost, URI: "/a/b?c=%2F", Host: "one.example", Header: http.Header{"Id": {id}}, Body: []byte("hello"), ID: id}
+	return Request{Method: http.MethodPost, URI: "/a/b?c=%2F", Host: "one.example", Header: http.Header{"Id": {id}}, Body: []byte("hello"), ID: id, Echoed: true}
 }
 
 // echo returns a script that responds to each request with the request's identifier and body. The bytes in before
@@ -150,6 +150,48 @@
 	require.Equal(t, "hello!", readAll(t, a))
 }
 
+// An earlier refusal that an endpoint writes once more on a kept connection, with or without the identifier of the request that it
+// refused, must not be taken for the refusal of a request that the endpoint is running.
+func TestRepeatedRefusalIsNotTakenForTheResponse(t *testing.T) {
+	refusal := func(header string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + header + "Content-Length: 4\r\n\r\nfull"
+	}
+	for name, repeated := range map[string]string{"with its identifier": refusal("Id: 1\r\n"), "without": refusal("")} {
+		for _, answered := range []bool{true, false} {
+			e := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+				if _, _, ok := e.read(r); !ok {
+					return
+				}
+				_, _ = io.WriteString(c, refusal("Id: 1\r\n"))
+				id, _, ok := e.read(r)
+				if !ok {
+					return
+				}
+				_, _ = io.WriteString(c, repeated)
+				if answered {
+					_, _ = io.WriteString(c, response(id, "ran"))
+				}
+			})
+			client := newClient(t)
+			a, err := client.Send(t.Context(), e.target(), request("1"))
+			require.NoError(t, err)
+			require.True(t, a.Info.NotRun, "the refusal is taken for the first request")
+			readAll(t, a)
+			a, err = client.Send(t.Context(), e.target(), request("2"))
+			if !answered {
+				var failed *Error
+				require.ErrorAs(t, err, &failed, name)
+				require.True(t, failed.Sent, "the request may have run")
+				continue
+			}
+			require.NoError(t, err, name)
+			require.False(t, a.Info.NotRun, name)
+			require.Equal(t, "ran", readAll(t, a), name)
+			require.Equal(t, 1, e.connections())
+		}
+	}
+}
+
 // A connection with further bytes after the response must not be reused: the next request would take them for
 // its response.
 func TestExtraBytesAfterResponseCloseConnection(t *testing.T) {
