Operators see and release held prompt parts; VMs of earlier builds get no reports on them

Cause: the state dump did not show which parts are held, and an operator who knew that a part is sound had to wait for a trial. VMs of an earlier build do not have the service for parts: each report to them failed and was repeated.

Change: held_parts in the state dump; mallowlinkctl release-part through the admin listener of one VM, which clears the part on all of them; a VM whose build lacks the service is asked once.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 )
@@ -30,6 +32,31 @@
 	require.Less(t, strings.Index(text, "bundle_version"), strings.Index(text, "entry_requests"))
 }
 
+// A command is carried out only for a POST request, and its error is reported.
+func TestCommands(t *testing.T) {
+	var parts []string
+	handler := NewHandler(func() any { return nil }, metrics.NewRegistry(), Command{Path: "/release", Run: func(p url.Values) error {
+		if p.Get("part") == "" {
+			return errors.New("no part")
+		}
+		parts = append(parts, p.Get("part"))
+		return nil
+	}})
+	for _, c := range []struct {
+		method, target string
+		status         int
+	}{
+		{http.MethodGet, "/release?part=a", http.StatusMethodNotAllowed},
+		{http.MethodPost, "/release", http.StatusNotFound},
+		{http.MethodPost, "/release?part=b", http.StatusNoContent},
+	} {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(c.method, c.target, nil))
+		require.Equal(t, c.status, recorder.Code, c.target)
+	}
+	require.Equal(t, []string{"b"}, parts)
+}
+
 func TestStateIsJSON(t *testing.T) {
 	type state struct {
 		VM string `json:"vm"`
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -42,7 +42,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newBundleCommand(), newKeyCommand(), newDumpCommand(),
+	root.AddCommand(newBundleCommand(), newKeyCommand(), newDumpCommand(), newReleasePartCommand(),
 		newTraceCommand(), newChartCommand(), newCodesCommand(), newDevCommand())
 	return root
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/relay"
+	"github.com/mallowlink/mallowlink/pkg/suspect"
 )
 
 const (
@@ -61,7 +63,7 @@
 	s.callerEnforcer = connlimit.NewTimeoutEnforcer(s.callers)
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaderTimeout}
 	s.metrics = &http.Server{
-		Handler:           admin.NewHandler(s.dumpState, registry),
+		Handler:           admin.NewHandler(s.dumpState, registry, admin.Command{Path: suspect.ReleasePath, Run: s.releasePart}),
 		ReadHeaderTimeout: defaultHeaderTimeout,
 	}
 	return s
@@ -81,6 +83,16 @@
 	return nil
 }
 
+// releasePart lets requests with a prompt part be sent again, on behalf of an operator.
+func (s *servers) releasePart(parameters url.Values) error {
+	part := parameters.Get(suspect.ReleasePartParameter)
+	p := s.process.Load()
+	if p == nil || !p.components.Suspects.detector.ReleasePart(part) {
+		return errors.Errorf("no crashes are held against prompt part %q", part)
+	}
+	return nil
+}
+
 // components are all components that a process runs. fx fills them in by type.
 type components struct {
 	fx.In
--- a/pkg/gatewayd/state.go
+++ b/pkg/gatewayd/state.go
@@ -34,6 +34,8 @@
 	Accounts      []allowance.AccountState `json:"accounts"`
 	// Suspects are the requests that were running on endpoints when these crashed.
 	Suspects []suspect.Suspect `json:"suspects"`
+	// HeldParts are the parts of prompts for which requests are refused.
+	HeldParts []suspect.PartState `json:"held_parts"`
 }
 
 // ConfigState describes the configuration in force.
@@ -78,7 +80,7 @@
 		Requests: p.components.Gateway.Running(), Relay: p.components.Relay.State(), Steward: coord.stewards.isSteward(),
 		Leases: coord.stewards.heldLeases(), EndpointsAge: formatDuration(view.endpointsAge()),
 		Engines: p.components.Orders.State(), Accounts: p.components.Allowances.limiter.State(),
-		Suspects: p.components.Suspects.detector.Suspects(),
+		Suspects: p.components.Suspects.detector.Suspects(), HeldParts: p.components.Suspects.detector.PartStates(),
 	}
 	if rules := view.rules.Load(); rules != nil {
 		s.Config = ConfigState{
--- a/pkg/suspect/part_admission.go
+++ b/pkg/suspect/part_admission.go
@@ -63,6 +63,37 @@
 // HeldParts returns the held parts.
 func (d *Detector) HeldParts() []HeldPart { return d.cfg.Parts.Held(time.Now()) }
 
+// PartState describes a held part in a state dump. Durations are texts.
+type PartState struct {
+	Part      string   `json:"part"`
+	Crashes   int      `json:"crashes"`
+	SeenBy    []string `json:"seen_by"`
+	LastCrash string   `json:"last_crash"`
+	HeldFor   string   `json:"held_for"`
+	Trials    int      `json:"trials"`
+	NextTrial string   `json:"next_trial"`
+	Refused   int64    `json:"refused"`
+}
+
+// PartStates returns the held parts for a state dump.
+func (d *Detector) PartStates() []PartState {
+	list := []PartState{}
+	for _, h := range d.HeldParts() {
+		text := func(t time.Duration) string { return t.Round(time.Millisecond).String() }
+		list = append(list, PartState{
+			Part: h.Part, Crashes: h.Crashes, SeenBy: h.SeenBy, LastCrash: text(h.Age), HeldFor: text(h.HeldFor),
+			Trials: h.Trials, NextTrial: text(h.NextTrial), Refused: h.Refusals,
+		})
+	}
+	return list
+}
+
+// The path and the parameter of the operators' command that releases a part.
+const (
+	ReleasePath          = "/suspects/release"
+	ReleasePartParameter = "part"
+)
+
 // ReleasePart clears a part of its crashes on all VMs, on behalf of an operator. It reports whether there were any.
 func (d *Detector) ReleasePart(part string) bool {
 	if !d.cfg.Parts.Release(time.Now(), part) {
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -384,3 +384,21 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// VMs of an earlier build do not know the service for parts: they are asked once, and the other VMs hold the part all the same.
+func TestVMsOfEarlierBuildsGetNoReportsOnParts(t *testing.T) {
+	runFleet(t, 5, func(f *testFleet) {
+		f.update(func() { f.vms[4].earlier = true })
+		for i := range 3 {
+			f.crashPart(i, fmt.Sprint("e", i), "bad")
+		}
+		time.Sleep(syncDeadline)
+		for _, vm := range f.vms[:4] {
+			decision, _ := vm.detector.cfg.Parts.Admit(time.Now(), []string{"bad"})
+			require.Equal(t, Refuse, decision, vm.id)
+		}
+		before := f.callCount()
+		time.Sleep(syncDeadline)
+		require.Equal(t, before, f.callCount())
+	})
+}
--- a/pkg/suspect/syncer.go
+++ b/pkg/suspect/syncer.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"maps"
+	"net/rpc"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/clock"
@@ -105,6 +108,8 @@
 	// lastFailure holds when a call to a VM last failed, inFlight the VMs to which a call is in flight; guarded by mu.
 	lastFailure map[peerIncarnation]time.Time
 	inFlight    map[peerIncarnation]bool
+	// withoutService are the VMs of a build without the service; guarded by mu.
+	withoutService map[peerIncarnation]bool
 	// crashTimes maps the crashes of which this VM is a home to when they were first seen; guarded by mu.
 	crashTimes map[string]time.Time
 	// callSlots bounds the calls in flight.
@@ -138,7 +143,7 @@
 func newSyncer(self, service string, table crashRecord, peerClient peer.Client, members func() []membership.Member, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
 		self: self, service: service, table: table, peerClient: peerClient, members: members, log: log, wake: make(chan struct{}, 1),
-		sent: map[peerIncarnation]map[uint64]summary{}, lastFailure: map[peerIncarnation]time.Time{}, inFlight: map[peerIncarnation]bool{}, crashTimes: map[string]time.Time{},
+		sent: map[peerIncarnation]map[uint64]summary{}, lastFailure: map[peerIncarnation]time.Time{}, inFlight: map[peerIncarnation]bool{}, withoutService: map[peerIncarnation]bool{}, crashTimes: map[string]time.Time{},
 		callSlots: make(chan struct{}, maxParallelCalls),
 	}
 }
@@ -228,7 +233,7 @@
 	id := peerIncarnation{to.ID, to.Incarnation}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if to.ID == s.self || to.Gone || s.inFlight[id] || time.Since(s.lastFailure[id]) < syncRetryDelay {
+	if to.ID == s.self || to.Gone || s.inFlight[id] || s.withoutService[id] || time.Since(s.lastFailure[id]) < syncRetryDelay {
 		return nil
 	}
 	var batch []CrashReport
@@ -317,6 +322,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, id)
+	if lacksService(err) {
+		s.withoutService[id] = true
+		s.log.WithFields(logrus.Fields{"event": "parts_not_known", "to": m.ID}).Info("peer is of a build that does not hold prompt parts; it gets no reports on them")
+		return
+	}
 	if err != nil {
 		s.lastFailure[id] = time.Now()
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "suspects_not_told", "to": m.ID, "notices": len(batch)}).Info("could not send crash reports to peer")
@@ -335,6 +345,12 @@
 	s.apply(m.ID, reply.Notices)
 }
 
+// lacksService reports whether a call failed because the peer does not have the service.
+func lacksService(err error) bool {
+	var answered rpc.ServerError
+	return errors.As(err, &answered) && strings.HasPrefix(string(answered), "rpc: can't find service")
+}
+
 // apply records reports from another VM. from is its ID, or "table" if they were read from the platform's table.
 func (s *Syncer) apply(from string, reports []CrashReport) {
 	now := time.Now()
@@ -386,6 +402,7 @@
 		live[peerIncarnation{m.ID, m.Incarnation}] = true
 	}
 	maps.DeleteFunc(s.sent, func(id peerIncarnation, _ map[uint64]summary) bool { return !live[id] })
+	maps.DeleteFunc(s.withoutService, func(id peerIncarnation, _ bool) bool { return !live[id] })
 	maps.DeleteFunc(s.lastFailure, func(id peerIncarnation, _ time.Time) bool { return !live[id] })
 }
 
--- a/pkg/suspect/syncer_test.go
+++ b/pkg/suspect/syncer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/rpc"
 	"slices"
 	"strings"
 	"sync"
@@ -60,6 +61,8 @@
 	syncer          *Syncer
 	partSyncer      *Syncer
 	stop            context.CancelFunc
+	// earlier says that the VM is of a build without the service for parts; guarded by fleet.mu.
+	earlier bool
 }
 
 // runFleet runs a test with a fleet of n VMs in virtual time.
@@ -119,10 +122,11 @@
 	f.mu.Lock()
 	f.calls++
 	down := f.down[address] || f.down[vm.id]
+	earlier := false
 	var target *testVM
 	for _, other := range f.vms {
 		if other.id == address {
-			target = other
+			target, earlier = other, other.earlier
 		}
 	}
 	f.mu.Unlock()
@@ -130,6 +134,9 @@
 		<-ctx.Done()
 		return peer.ErrUnreachable
 	}
+	if earlier && strings.HasPrefix(method, PartServiceName) {
+		return rpc.ServerError("rpc: can't find service " + method)
+	}
 	switch method {
 	case ServiceName + ".End":
 		return target.syncer.Service().End(args.(*EndArgs), reply.(*EndReply))
