Trials are asked for once a second; clearances outlast a cut; crashes of a part stay bounded

Cause (by reading): each refused request asked the home of a held part for a trial while one was due, and waited up to 100 ms where the home could not be reached. A VM that was cut off for over 30 s could bring back crashes that an answer or an operator had cleared. The crash of a trial was not recorded for a part with 16 crashes, so that the next trial came after 5 s.

Change: a VM asks once a second and part. What several VMs may know of is remembered as cleared for ten minutes. Of 16 crashes the first and the latest stay. A soak test of crashing parts beside faults.

Evidence: TestClearedCrashesDoNotComeBack, TestCrashesOfAPartAreBounded.

--- a/pkg/suspect/part_admission.go
+++ b/pkg/suspect/part_admission.go
@@ -31,7 +31,7 @@
 
 // tryPart reports whether a request may be sent as a trial of a held part.
 func (d *Detector) tryPart(ctx context.Context, held HeldPart) bool {
-	if !d.cfg.Parts.TrialDue(time.Now(), held.Fingerprint) {
+	if !d.cfg.Parts.AskTrial(time.Now(), held.Fingerprint) {
 		return false
 	}
 	if !d.requestPartTrial(ctx, held.Fingerprint) {
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -34,6 +34,11 @@
 	// usualReportDelay is the time after which a crash is reported to other VMs if the part had been served before. Most such
 	// parts are served again within it.
 	usualReportDelay = 300 * time.Millisecond
+	// partClearanceRetention is how long it is remembered that a part was cleared of crashes that several VMs may know of: a VM
+	// that was cut off meanwhile may report them again.
+	partClearanceRetention = 10 * time.Minute
+	// trialAskInterval is the least time between two requests of one VM for a trial of a part.
+	trialAskInterval = time.Second
 	// heldRetention is how long a held part is kept after its last crash.
 	heldRetention = 24 * time.Hour
 )
@@ -89,6 +94,8 @@
 	settled   bool
 	trials    int
 	lastTrial time.Time
+	// lastAsked is when this VM last asked for a trial.
+	lastAsked time.Time
 	// refusals counts the requests that this VM has refused.
 	refusals int64
 }
@@ -151,7 +158,7 @@
 			held = append(held, e)
 		}
 	}
-	if len(held) == 1 && t.shadowed(held[0]) && held[0].trials > 0 && now.Sub(held[0].lastTrial) < trialWait {
+	if len(held) == 1 && t.shadowed(held[0]) && now.Sub(latest(held[0].lastTrial, held[0].lastAsked)) < trialWait {
 		return Wait, nil
 	}
 	described := make([]HeldPart, len(held))
@@ -356,9 +363,13 @@
 		e.crashes[i].local = e.crashes[i].local && c.local
 		return
 	}
-	if !c.at.After(e.clearedAt) || t.explained(e, c.id) || len(e.crashes) == maxCrashesPerPart {
+	if !c.at.After(e.clearedAt) || t.explained(e, c.id) {
 		return
 	}
+	if len(e.crashes) == maxCrashesPerPart {
+		// The first and the latest crashes are kept: the time between them counts, and whether a trial has crashed an endpoint.
+		e.crashes = slices.Delete(e.crashes, 1, 2)
+	}
 	e.crashes = append(e.crashes, c)
 	slices.SortStableFunc(e.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
 	e.spread = e.spread || len(e.crashes) >= broadcastThreshold
@@ -433,8 +444,8 @@
 	}
 }
 
-// explains reports whether a held part, of which all reports have arrived, is the more likely cause of the crashes that it shares with e: it has never been served
-// and e has, or it was there at more crashes.
+// explains reports whether a held part, of which all reports have arrived, is the more likely cause of the crashes that it shares
+// with e: it has never been served and e has, or it was there at more crashes.
 func (holder *partEntry) explains(e *partEntry) bool {
 	return holder != e && !holder.usual() && (e.usual() || len(holder.crashes) > len(e.crashes))
 }
@@ -550,23 +561,29 @@
 	return since.Add(partTrialDelays[e.trials])
 }
 
-// TrialDue reports whether a trial of a held part is due.
-func (t *PartTable) TrialDue(now time.Time, fingerprint uint64) bool {
+// trialAllowed reports whether a trial of a part is due. The caller holds mu.
+func (t *PartTable) trialAllowed(now time.Time, e *partEntry) bool {
+	return e != nil && !e.heldSince.IsZero() && e.trials < len(partTrialDelays) && !now.Before(t.trialDue(e))
+}
+
+// AskTrial reports whether this VM should ask for a trial of a held part: one is due, and it has not asked just now.
+func (t *PartTable) AskTrial(now time.Time, fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.lookup(now, fingerprint)
-	return e != nil && !e.heldSince.IsZero() && e.trials < len(partTrialDelays) && !now.Before(t.trialDue(e))
+	if !t.trialAllowed(now, e) || now.Sub(e.lastAsked) < trialAskInterval {
+		return false
+	}
+	e.lastAsked = now
+	return true
 }
 
 // AllowTrial reports whether one request with a held part may run as a trial, and counts the trial if so.
 func (t *PartTable) AllowTrial(now time.Time, fingerprint uint64) bool {
-	if !t.TrialDue(now, fingerprint) {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[fingerprint]
-	if e == nil || now.Before(t.trialDue(e)) {
+	e := t.lookup(now, fingerprint)
+	if !t.trialAllowed(now, e) {
 		return false
 	}
 	e.trials++
@@ -574,6 +591,16 @@
 	return true
 }
 
+// RecordTrial counts a trial that another VM has granted to this one.
+func (t *PartTable) RecordTrial(now time.Time, fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.lookup(now, fingerprint); t.trialAllowed(now, e) {
+		e.trials++
+		e.lastTrial = now
+	}
+}
+
 // NoteTrial records that another VM may be trying a part that cannot be told from another one.
 func (t *PartTable) NoteTrial(now time.Time, fingerprint uint64) {
 	t.mu.Lock()
@@ -605,7 +632,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for fingerprint, e := range t.entries {
-		if now.Sub(e.clearedAt) >= clearanceRetention {
+		retention := clearanceRetention
+		if e.spread {
+			retention = partClearanceRetention
+		}
+		if now.Sub(e.clearedAt) >= retention {
 			e.clearedAt = time.Time{}
 		}
 		if t.lookup(now, fingerprint) != nil && e.empty() {
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -227,6 +227,40 @@
 	r.require(Refuse, "bad")
 }
 
+// Of very many crashes the first and the latest are kept.
+func TestCrashesOfAPartAreBounded(t *testing.T) {
+	r := newPartRig(t)
+	for range 3 * maxCrashesPerPart {
+		r.crash("bad")
+		r.pass(time.Second)
+	}
+	reports := r.table.ReportsOf(r.now, PartFingerprint("bad"))
+	require.Len(t, reports, maxCrashesPerPart)
+	require.Equal(t, "e1", reports[0].Crash)
+	require.Equal(t, fmt.Sprint("e", 3*maxCrashesPerPart), reports[len(reports)-1].Crash)
+}
+
+// A VM that was cut off for minutes and reports crashes that were cleared meanwhile does not bring the hold back.
+func TestClearedCrashesDoNotComeBack(t *testing.T) {
+	r := newPartRig(t)
+	for range partCrashes {
+		r.crash("sound")
+	}
+	reports := r.table.ReportsOf(r.now, PartFingerprint("sound"))
+	r.pass(time.Second)
+	require.True(t, r.table.Release(r.now, "sound"))
+	for range 4 {
+		r.pass(time.Minute)
+		r.table.Sweep(r.now)
+	}
+	for _, report := range reports {
+		report.Age = 4*time.Minute + time.Second
+		r.table.Record(r.now, report)
+	}
+	r.pass(time.Second)
+	r.require(Allow, "sound")
+}
+
 // The memory of served parts is bounded, and an account cannot use up the places of others.
 func TestServedPartsAreBounded(t *testing.T) {
 	s, now := newServedParts(), time.Unix(1e9, 0)
--- a/pkg/suspect/syncer.go
+++ b/pkg/suspect/syncer.go
@@ -447,6 +447,9 @@
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "trial_not_asked", "to": home.ID, "fingerprint": FormatFingerprint(fingerprint)}).Info("could not ask for a trial of a held prompt part")
 		return false
 	}
+	if parts, ok := s.table.(*PartTable); ok && reply.Granted {
+		parts.RecordTrial(time.Now(), fingerprint)
+	}
 	return reply.Granted
 }
 
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -188,6 +188,21 @@
 	}
 }
 
+// The same holds beside faults of VMs, the store and endpoints.
+func TestPromptPartThatCrashesEndpointsIsStoppedUnderFaults(t *testing.T) {
+	t.Parallel()
+	for _, seed := range chosenSeeds(600) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := fatality{kind: kinds[seed%2], part: true, atOnce: seed%3 == 0, accepting: seed%5 == 0, lasts: *forFlag + 8*time.Second}
+			broken, w, c := play(t, plan{
+				seed: seed, vms: *vmsFlag, callers: 10, calm: 2 * time.Second, struck: *forFlag, pause: 1200 * time.Millisecond, fatal: &f,
+			})
+			t.Logf("%d endpoints crashed", len(w.audit.Crashes()))
+			report(t, broken, w, c)
+		})
+	}
+}
+
 // The same holds beside faults of VMs, the store and endpoints, and after them: what is known of the request outlives
 // restarts, freezes, cuts and a store that is away.
 func TestRequestThatCrashesEndpointsIsStoppedUnderFaults(t *testing.T) {
