Parts that cannot be told apart: reports in any order, waits in place of refusals

Cause, traced in the logs of one of them: the reports on the parts of one crash arrive one after the other. The companion's fourth report came before that of the part to blame, so it counted as the part that was there at more crashes and explained all crashes of the other. Besides, a trial of it reached an engine that had crashed already and had no result, and the next came 5 s later.

Change: a held part explains the crashes of one that was never served only by a crash that was recorded 0.1 s ago. Requests with a part that cannot be told from another held one wait up to 10 s for a trial and are not refused; such trials come each second until one has a result. A trial that was never sent goes on at the next endpoint.

--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -25,11 +25,15 @@
 		c.endPlacement(Outcome{Canceled: true})
 		return c.refuse(e)
 	}
-	c.partTrial, c.partsServed = 0, false
+	c.partsServed = false
 	c.sentAt, c.headAt = time.Now(), time.Time{}
 	e := c.placement.Endpoint
 	target := upstream.Target{ID: e.ID, Started: e.Started, Address: e.Address}
 	response, err := c.g.cfg.Upstream.Send(c.ctx, target, c.upstreamRequest())
+	var failed *upstream.Error
+	if !errors.As(err, &failed) || failed.Sent {
+		c.partTrial = 0
+	}
 	if err != nil {
 		return c.noResponse(err)
 	}
--- a/pkg/suspect/part_admission.go
+++ b/pkg/suspect/part_admission.go
@@ -13,15 +13,14 @@
 // a trial, 0 if there is none: it is passed as granted until the request has been sent.
 func (d *Detector) AdmitParts(ctx context.Context, parts []string, granted uint64) (decision Decision, held HeldPart, trial uint64) {
 	decision, list := d.cfg.Parts.Admit(time.Now(), parts)
-	if decision != Refuse {
-		return decision, HeldPart{}, granted
+	if decision == Allow {
+		return Allow, HeldPart{}, granted
 	}
 	if len(list) == 1 && (list[0].Fingerprint == granted || d.tryPart(ctx, list[0])) {
 		return Allow, HeldPart{}, list[0].Fingerprint
 	}
-	// A trial that has been granted to another VM may be about to clear the part.
-	if decision, list = d.cfg.Parts.Admit(time.Now(), parts); decision != Refuse {
-		return decision, HeldPart{}, granted
+	if decision == Wait {
+		return Wait, HeldPart{}, 0
 	}
 	held = list[0]
 	d.cfg.Parts.CountRefusal(held.Fingerprint)
@@ -35,7 +34,6 @@
 		return false
 	}
 	if !d.requestPartTrial(ctx, held.Fingerprint) {
-		d.cfg.Parts.NoteTrial(time.Now(), held.Fingerprint)
 		return false
 	}
 	d.cfg.Log.WithFields(held.logFields("part_tried")).Info("request with a held prompt part allowed as a trial")
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -24,8 +24,11 @@
 	// partSettleTime is the time between the crash that makes a part held and the first refusal. Within it, the reports of other
 	// VMs arrive, on this part and on those that were there at the same crashes; requests with it wait.
 	partSettleTime = 100 * time.Millisecond
-	// trialWait bounds the time for which requests with a part that cannot be told from another one wait for its trial.
-	trialWait = 500 * time.Millisecond
+	// undecidedTime is the time for which requests with a part that cannot be told from another one wait for a trial, and are not
+	// refused. shadowedTrialDelay is the time between two such trials without a result, maxShadowedTrials their number.
+	undecidedTime      = 10 * time.Second
+	shadowedTrialDelay = time.Second
+	maxShadowedTrials  = 10
 	// usualPeriod is the time for which a part that was served is taken for one that has been sound.
 	usualPeriod = 2 * time.Minute
 	// usualSpread is the least time between the first and the last crash held against a part that had been served before: many
@@ -65,6 +68,8 @@
 	entries    map[uint64]*partEntry
 	perAccount map[string]int
 	held       map[uint64]*partEntry
+	// settledAt is when settle last ran.
+	settledAt time.Time
 	// onHeld is called when a part becomes held, onExplained when a held part explains the crashes held against another. They
 	// are set before the first use and must not block.
 	onHeld      func(HeldPart)
@@ -100,11 +105,11 @@
 	refusals int64
 }
 
-// partCrash is a crash held against a part. local says that no other VM has reported it to this one.
+// partCrash is a crash held against a part. recorded is when this VM learned of it, local says that no other VM has reported it.
 type partCrash struct {
-	id, seenBy string
-	at         time.Time
-	local      bool
+	id, seenBy   string
+	at, recorded time.Time
+	local        bool
 }
 
 // NewPartTable returns an empty PartTable of the VM with the ID self.
@@ -136,8 +141,8 @@
 	Refusals                int64
 }
 
-// Admit decides whether a request with the parts may run. The held parts are those that forbid it. With Wait, the decision is due
-// within partSettleTime.
+// Admit decides whether a request with the parts may run. The held parts are those that forbid it, unless a trial is allowed. With
+// Wait, it is not known yet whether they are to blame.
 func (t *PartTable) Admit(now time.Time, parts []string) (Decision, []HeldPart) {
 	if t.Empty() {
 		return Allow, nil
@@ -158,8 +163,8 @@
 			held = append(held, e)
 		}
 	}
-	if len(held) == 1 && t.shadowed(held[0]) && now.Sub(latest(held[0].lastTrial, held[0].lastAsked)) < trialWait {
-		return Wait, nil
+	if len(held) == 1 && t.undecided(now, held[0]) {
+		decision = Wait
 	}
 	described := make([]HeldPart, len(held))
 	for i, e := range held {
@@ -168,16 +173,30 @@
 	return decision, described
 }
 
-// settle completes the holds whose partSettleTime has passed. The caller holds mu.
+// settle completes the holds whose partSettleTime has passed, and explains by them what has been recorded for as long. The caller
+// holds mu.
 func (t *PartTable) settle(now time.Time) {
+	if len(t.held) == 0 || now.Sub(t.settledAt) < partSettleTime/4 {
+		return
+	}
+	t.settledAt = now
 	for _, e := range t.held {
-		if !e.settled && now.Sub(e.heldSince) >= partSettleTime {
-			e.settled = true
+		e.settled = e.settled || now.Sub(e.heldSince) >= partSettleTime
+		if e.settled {
 			t.explainAway(now, e)
 		}
 	}
 }
 
+// undecided reports whether a held part may soon turn out to be sound: another held part may as well be to blame, and no trial has
+// crashed an endpoint. The caller holds mu.
+func (t *PartTable) undecided(now time.Time, e *partEntry) bool {
+	return t.shadowed(e) && !e.crashedInTrial() && now.Sub(e.heldSince) < undecidedTime
+}
+
+// crashedInTrial reports whether an endpoint has crashed since the latest trial.
+func (e *partEntry) crashedInTrial() bool { return e.trials > 0 && e.lastCrash().After(e.lastTrial) }
+
 // shadowed reports whether another held part was there at all crashes held against e, so that either may be the cause. The
 // caller holds mu.
 func (t *PartTable) shadowed(e *partEntry) bool {
@@ -239,7 +258,7 @@
 	if i := indexOf(e.pending, crash); i >= 0 {
 		c := e.pending[i]
 		e.pending = slices.Delete(e.pending, i, i+1)
-		t.addCrash(e, c)
+		t.addCrash(now, e, c)
 		t.update(now, e)
 	}
 }
@@ -332,7 +351,7 @@
 	if r.Trials > e.trials {
 		e.trials, e.lastTrial = r.Trials, now.Add(-max(0, r.TrialAge))
 	}
-	t.addCrash(e, partCrash{id: r.Crash, seenBy: r.SeenBy, at: at})
+	t.addCrash(now, e, partCrash{id: r.Crash, seenBy: r.SeenBy, at: at})
 	t.update(now, e)
 }
 
@@ -358,12 +377,13 @@
 
 // addCrash records a crash unless it is known, older than a response to the part, or explained by another part. The caller holds
 // mu.
-func (t *PartTable) addCrash(e *partEntry, c partCrash) {
+func (t *PartTable) addCrash(now time.Time, e *partEntry, c partCrash) {
+	c.recorded = now
 	if i := indexOf(e.crashes, c.id); i >= 0 {
 		e.crashes[i].local = e.crashes[i].local && c.local
 		return
 	}
-	if !c.at.After(e.clearedAt) || t.explained(e, c.id) {
+	if !c.at.After(e.clearedAt) || t.explained(now, e, c.id) {
 		return
 	}
 	if len(e.crashes) == maxCrashesPerPart {
@@ -445,15 +465,21 @@
 }
 
 // explains reports whether a held part, of which all reports have arrived, is the more likely cause of the crashes that it shares
-// with e: it has never been served and e has, or it was there at more crashes.
-func (holder *partEntry) explains(e *partEntry) bool {
-	return holder != e && !holder.usual() && (e.usual() || len(holder.crashes) > len(e.crashes))
+// with e: it has never been served, and e has or was not there at another of its crashes. The reports on e's part in a crash that
+// was recorded just now may still be on their way.
+func (holder *partEntry) explains(now time.Time, e *partEntry) bool {
+	if holder == e || holder.usual() {
+		return false
+	}
+	return e.usual() || slices.ContainsFunc(holder.crashes, func(c partCrash) bool {
+		return now.Sub(c.recorded) >= partSettleTime && indexOf(e.crashes, c.id) < 0
+	})
 }
 
 // explained reports whether a held part explains a crash that is to be held against e. The caller holds mu.
-func (t *PartTable) explained(e *partEntry, crash string) bool {
+func (t *PartTable) explained(now time.Time, e *partEntry, crash string) bool {
 	for _, holder := range t.held {
-		if holder.settled && indexOf(holder.crashes, crash) >= 0 && holder.explains(e) {
+		if holder.settled && indexOf(holder.crashes, crash) >= 0 && holder.explains(now, e) {
 			return true
 		}
 	}
@@ -463,7 +489,7 @@
 // explainAway removes the crashes that a held part explains from the other parts, which only accompanied it. The caller holds mu.
 func (t *PartTable) explainAway(now time.Time, holder *partEntry) {
 	for _, e := range t.entries {
-		if len(e.crashes) == 0 || !holder.explains(e) {
+		if len(e.crashes) == 0 || !holder.explains(now, e) {
 			continue
 		}
 		before := t.describe(now, e)
@@ -550,20 +576,32 @@
 // once there have been all. The caller holds mu.
 func (t *PartTable) trialDue(e *partEntry) time.Time {
 	since := latest(latest(e.lastCrash(), e.lastTrial), e.heldSince)
+	shadowed := t.shadowed(e)
 	switch {
-	case e.trials >= len(partTrialDelays):
+	case e.trials >= maxTrials(shadowed):
 		return since.Add(heldRetention)
-	case e.trials > 0 && e.lastCrash().After(e.lastTrial):
+	case e.crashedInTrial():
 		return since.Add(confirmedTrialDelay)
-	case e.trials == 0 && t.shadowed(e):
+	case shadowed && e.trials == 0:
 		return e.heldSince.Add(partSettleTime)
+	case shadowed:
+		return e.lastTrial.Add(shadowedTrialDelay)
 	}
 	return since.Add(partTrialDelays[e.trials])
 }
 
+// maxTrials returns the number of trials of a held part. One that cannot be told from another part has more, because a trial of the
+// part to blame would have a result.
+func maxTrials(shadowed bool) int {
+	if shadowed {
+		return maxShadowedTrials
+	}
+	return len(partTrialDelays)
+}
+
 // trialAllowed reports whether a trial of a part is due. The caller holds mu.
 func (t *PartTable) trialAllowed(now time.Time, e *partEntry) bool {
-	return e != nil && !e.heldSince.IsZero() && e.trials < len(partTrialDelays) && !now.Before(t.trialDue(e))
+	return e != nil && !e.heldSince.IsZero() && e.trials < maxTrials(t.shadowed(e)) && !now.Before(t.trialDue(e))
 }
 
 // AskTrial reports whether this VM should ask for a trial of a held part: one is due, and it has not asked just now.
@@ -601,15 +639,6 @@
 	}
 }
 
-// NoteTrial records that another VM may be trying a part that cannot be told from another one.
-func (t *PartTable) NoteTrial(now time.Time, fingerprint uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[fingerprint]; e != nil && e.trials == 0 && !e.heldSince.IsZero() && t.shadowed(e) {
-		e.trials, e.lastTrial = 1, now
-	}
-}
-
 // Held returns the held parts, those with the most crashes first.
 func (t *PartTable) Held(now time.Time) []HeldPart {
 	t.mu.Lock()
