Prompt parts: plainer names, and files by what they do

Change: ambiguous, servedBefore, shared; part_hold.go, part_trials.go, part_reports.go. Texts of comments, logs and errors; no behaviour.

Measured: tests of pkg/suspect, pkg/gateway, pkg/ctl, pkg/gatewayd, docs pass; vet for x86-64 of the changed packages passes.

--- a/pkg/ctl/release.go
+++ b/pkg/ctl/release.go
@@ -21,7 +21,7 @@
 	cmd := &cobra.Command{
 		Use:   "release-part PART",
 		Short: "Send requests with a held prompt part again",
-		Long:  "Clear a prompt part of the endpoint crashes held against it. One VM is enough: it notifies the others. The part is held again after three further crashes. The held parts are in the state of each VM (dump, held_parts).",
+		Long:  "Clear a prompt part of the endpoint crashes recorded for it. One VM is enough: it notifies the others. The part is held again after three further crashes. The held parts are in the state of each VM (dump, held_parts).",
 		Example: `  mallowlinkctl dump --admin 10.1.0.25:7601
   mallowlinkctl release-part 12ca9047f126 --admin 10.1.0.25:7601`,
 		Args: cobra.ExactArgs(1),
--- a/pkg/ctl/release_test.go
+++ b/pkg/ctl/release_test.go
@@ -22,7 +22,7 @@
 		Run: func(p url.Values) error {
 			part := p.Get(suspect.ReleasePartParameter)
 			if part == "unknown" {
-				return errors.New("no crashes are held against it")
+				return errors.New("no crashes are recorded for it")
 			}
 			released = append(released, part)
 			return nil
@@ -32,6 +32,6 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	require.NoError(t, releasePart(t.Context(), address, "a&b"))
 	require.Equal(t, []string{"a&b"}, released)
-	require.ErrorContains(t, releasePart(t.Context(), address, "unknown"), "no crashes are held against it")
+	require.ErrorContains(t, releasePart(t.Context(), address, "unknown"), "no crashes are recorded for it")
 	require.ErrorContains(t, releasePart(t.Context(), "nowhere", "a"), "not an IP address")
 }
--- a/pkg/gateway/parts_test.go
+++ b/pkg/gateway/parts_test.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// crashesOf returns the number of crashes held against a part.
+// crashesOf returns the number of crashes recorded for a part.
 func (b *testbed) crashesOf(part string) int {
 	return len(b.partTable.ReportsOf(time.Now(), suspect.PartFingerprint(part)))
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -88,7 +88,7 @@
 	part := parameters.Get(suspect.ReleasePartParameter)
 	p := s.process.Load()
 	if p == nil || !p.components.Suspects.detector.ReleasePart(part) {
-		return errors.Errorf("no crashes are held against prompt part %q", part)
+		return errors.Errorf("no crashes are recorded for prompt part %q", part)
 	}
 	return nil
 }
--- a/pkg/suspect/detector.go
+++ b/pkg/suspect/detector.go
@@ -51,7 +51,7 @@
 // DetectorConfig is the configuration of a crash detector.
 type DetectorConfig struct {
 	Table *Table
-	// Parts holds the crashes held against parts of prompts; nil for an empty table.
+	// Parts holds the crashes recorded for parts of prompts; nil for an empty table.
 	Parts  *PartTable
 	Prober Prober
 	// Listed returns what the list of endpoints says of an endpoint incarnation.
@@ -122,7 +122,7 @@
 		cfg.Log.WithFields(h.logFields("part_held")).Warn("endpoints crashed under requests with the prompt part; requests with it are refused")
 	}
 	cfg.Parts.onExplained = func(h HeldPart, by string) {
-		cfg.Log.WithFields(h.logFields("part_explained")).WithField("by", by).Info("crashes held against the prompt part are explained by another part")
+		cfg.Log.WithFields(h.logFields("part_explained")).WithField("by", by).Info("crashes recorded for the prompt part are explained by another part")
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
 	return &Detector{
@@ -248,7 +248,7 @@
 	d.recordLoss(e, account, sent, list...)
 }
 
-// recordLoss holds the possible crash of an endpoint against what a lost connection carried, and finds out whether the endpoint
+// recordLoss records the possible crash of an endpoint for what a lost connection carried, and finds out whether the endpoint
 // has crashed.
 func (d *Detector) recordLoss(e roster.Endpoint, account string, sent time.Time, lost ...affected) {
 	now := time.Now()
@@ -275,7 +275,7 @@
 	}
 	for _, a := range lost {
 		r := affectedRequest{sent, now}
-		// A part is held to the first request with it: the others may have been sent after the crash.
+		// The first request with a part counts: the others may have been sent after the crash.
 		if before, known := c.affected[a]; known && a.part != "" && before.sentAt.Before(sent) {
 			r.sentAt = before.sentAt
 		}
@@ -283,7 +283,7 @@
 	}
 }
 
-// addObservedCrash holds a crash against a request or a part.
+// addObservedCrash records a crash for a request or a part.
 func (d *Detector) addObservedCrash(now time.Time, account string, a affected, crash string, confirmed bool) {
 	if a.part == "" {
 		d.cfg.Table.AddObservedCrash(now, account, a.fingerprint, crash)
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -24,19 +24,19 @@
 	// partSettleTime is the time between the crash that makes a part held and the first refusal. Within it, the reports of other
 	// VMs arrive, on this part and on those that were there at the same crashes; requests with it wait.
 	partSettleTime = 100 * time.Millisecond
-	// undecidedTime is the time for which requests with a part that cannot be told from another one wait for a trial, and are not
-	// refused. shadowedTrialDelay is the time between two such trials without a result, maxShadowedTrials their number.
-	undecidedTime      = 10 * time.Second
-	shadowedTrialDelay = time.Second
-	maxShadowedTrials  = 10
-	// usualPeriod is the time for which a part that was served is taken for one that has been sound.
-	usualPeriod = 2 * time.Minute
-	// usualSpread is the least time between the first and the last crash held against a part that had been served before: many
+	// undecidedTime is the time for which requests with a part that cannot be distinguished from another one wait for a trial, and are not
+	// refused. ambiguousTrialDelay is the time between two such trials without a result, maxAmbiguousTrials their number.
+	undecidedTime       = 10 * time.Second
+	ambiguousTrialDelay = time.Second
+	maxAmbiguousTrials  = 10
+	// servedBeforePeriod is the time for which a part that was served is taken for one that has been sound.
+	servedBeforePeriod = 2 * time.Minute
+	// minCrashSpread is the least time between the first and the last crash of a part that had been served before: many
 	// endpoints that end at once say nothing of the parts that all requests share.
-	usualSpread = time.Second
-	// usualReportDelay is the time after which a crash is reported to other VMs if the part had been served before. Most such
+	minCrashSpread = time.Second
+	// servedBeforeReportDelay is the time after which a crash is reported to other VMs if the part had been served before. Most such
 	// parts are served again within it.
-	usualReportDelay = 300 * time.Millisecond
+	servedBeforeReportDelay = 300 * time.Millisecond
 	// partClearanceRetention is how long it is remembered that a part was cleared of crashes that several VMs may know of: a VM
 	// that was cut off meanwhile may report them again.
 	partClearanceRetention = 10 * time.Minute
@@ -46,14 +46,7 @@
 	heldRetention = 24 * time.Hour
 )
 
-// partTrialDelays are the times for which a part must have been held before each of its trials, since the latest crash or trial.
-// The first trials come early, since a sound part may be held by coincidence.
-var partTrialDelays = [...]time.Duration{time.Second, 5 * time.Second, confirmedTrialDelay}
-
-// confirmedTrialDelay is the delay of a trial after one that has crashed an endpoint.
-const confirmedTrialDelay = 30 * time.Minute
-
-// PartTable records the crashes held against parts of prompts, which different requests share. A part is held, and requests with
+// PartTable records the crashes recorded for parts of prompts, which different requests share. A part is held, and requests with
 // it are refused, once partCrashes endpoints have crashed while requests with it had received nothing, and it has not been served
 // since. It is safe for concurrent use.
 type PartTable struct {
@@ -70,7 +63,7 @@
 	held       map[uint64]*partEntry
 	// settledAt is when settle last ran.
 	settledAt time.Time
-	// onHeld is called when a part becomes held, onExplained when a held part explains the crashes held against another. They
+	// onHeld is called when a part becomes held, onExplained when a held part explains the crashes recorded for another. They
 	// are set before the first use and must not block.
 	onHeld      func(HeldPart)
 	onExplained func(part HeldPart, by string)
@@ -83,16 +76,16 @@
 	part    string
 	account string
 	// crashes are those since the part was last served, oldest first. pending are the possible ones that this VM still checks:
-	// they count once they are confirmed, when other VMs hear of them and can say whether they have served the part.
+	// they count once they are confirmed, when they are reported to other VMs, which reply whether they have served the part.
 	crashes, pending []partCrash
-	// clearedAt is when the part was served after a crash; crashes up to then are not held against it.
+	// clearedAt is when the part was served after a crash; crashes up to then do not count.
 	clearedAt time.Time
 	// servedAt is when any VM is known to have served the part last.
 	servedAt time.Time
 	// observed says that this VM itself has seen a crash or a response, so that it reports what is recorded.
 	observed bool
-	// spread says that several crashes were held against the part at some time, so that all VMs may know of it.
-	spread bool
+	// shared says that several crashes were recorded at some time, so that all VMs may know of the part.
+	shared bool
 	// heldSince is when the part became held; zero if it is not.
 	heldSince time.Time
 	// settled says that partSettleTime has passed since.
@@ -105,7 +98,7 @@
 	refusals int64
 }
 
-// partCrash is a crash held against a part. recorded is when this VM learned of it, local says that no other VM has reported it.
+// partCrash is a crash recorded for a part. recorded is when this VM learned of it, local says that no other VM has reported it.
 type partCrash struct {
 	id, seenBy   string
 	at, recorded time.Time
@@ -173,51 +166,6 @@
 	return decision, described
 }
 
-// settle completes the holds whose partSettleTime has passed, and explains by them what has been recorded for as long. The caller
-// holds mu.
-func (t *PartTable) settle(now time.Time) {
-	if len(t.held) == 0 || now.Sub(t.settledAt) < partSettleTime/4 {
-		return
-	}
-	t.settledAt = now
-	for _, e := range t.held {
-		e.settled = e.settled || now.Sub(e.heldSince) >= partSettleTime
-		if e.settled {
-			t.explainAway(now, e)
-		}
-	}
-}
-
-// undecided reports whether a held part may soon turn out to be sound: another held part may as well be to blame, and no trial has
-// crashed an endpoint. The caller holds mu.
-func (t *PartTable) undecided(now time.Time, e *partEntry) bool {
-	return t.shadowed(e) && !e.crashedInTrial() && now.Sub(e.heldSince) < undecidedTime
-}
-
-// crashedInTrial reports whether an endpoint has crashed since the latest trial.
-func (e *partEntry) crashedInTrial() bool { return e.trials > 0 && e.lastCrash().After(e.lastTrial) }
-
-// shadowed reports whether another held part was there at all crashes held against e, so that either may be the cause. The
-// caller holds mu.
-func (t *PartTable) shadowed(e *partEntry) bool {
-	for _, other := range t.held {
-		missing := slices.ContainsFunc(e.crashes, func(c partCrash) bool { return indexOf(other.crashes, c.id) < 0 })
-		if other != e && !missing {
-			return true
-		}
-	}
-	return false
-}
-
-// CountRefusal counts a refusal of a request with the part.
-func (t *PartTable) CountRefusal(fingerprint uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[fingerprint]; e != nil {
-		e.refusals++
-	}
-}
-
 // describe returns the description of an entry. The caller holds mu.
 func (t *PartTable) describe(now time.Time, e *partEntry) HeldPart {
 	h := HeldPart{
@@ -275,7 +223,7 @@
 	t.update(now, e)
 }
 
-// ClearedPart describes a part whose crashes are no longer held against it.
+// ClearedPart describes a part whose crashes no longer count.
 type ClearedPart struct {
 	HeldPart
 	WasHeld bool
@@ -309,7 +257,7 @@
 	return cleared
 }
 
-// Release removes the crashes held against a part, on behalf of an operator. It reports whether there were any.
+// Release removes the crashes recorded for a part, on behalf of an operator. It reports whether there were any.
 func (t *PartTable) Release(now time.Time, part string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -318,7 +266,7 @@
 	if e == nil || len(e.crashes) == 0 {
 		return false
 	}
-	e.observed, e.spread = true, true
+	e.observed, e.shared = true, true
 	e.clear(now)
 	t.update(now, e)
 	return true
@@ -392,7 +340,7 @@
 	}
 	e.crashes = append(e.crashes, c)
 	slices.SortStableFunc(e.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
-	e.spread = e.spread || len(e.crashes) >= broadcastThreshold
+	e.shared = e.shared || len(e.crashes) >= broadcastThreshold
 }
 
 // indexOf returns the index of a crash, or -1.
@@ -423,16 +371,6 @@
 	return e.crashes[len(e.crashes)-1].at
 }
 
-// usual reports whether the part had been served for some time before its first crash.
-func (e *partEntry) usual() bool {
-	return len(e.crashes) > 0 && !e.servedAt.IsZero() && e.crashes[0].at.Sub(e.servedAt) < usualPeriod
-}
-
-// isHeld reports whether the crashes suffice to hold the part. One that has had a trial was held before.
-func (e *partEntry) isHeld() bool {
-	return len(e.crashes) >= partCrashes && (e.trials > 0 || !e.usual() || e.lastCrash().Sub(e.crashes[0].at) >= usualSpread)
-}
-
 // update brings an entry into the state that follows from its crashes, and deletes it if nothing is recorded. The caller holds mu.
 func (t *PartTable) update(now time.Time, e *partEntry) {
 	t.setHeld(now, e)
@@ -451,59 +389,6 @@
 	return len(e.crashes) == 0 && len(e.pending) == 0 && e.clearedAt.IsZero()
 }
 
-// setHeld records when a part becomes held, or is no longer. The caller holds mu.
-func (t *PartTable) setHeld(now time.Time, e *partEntry) {
-	switch {
-	case !e.isHeld():
-		e.heldSince, e.settled = time.Time{}, false
-		delete(t.held, e.fingerprint)
-	case e.heldSince.IsZero():
-		e.heldSince = now
-		t.held[e.fingerprint] = e
-		t.onHeld(t.describe(now, e))
-	}
-}
-
-// explains reports whether a held part, of which all reports have arrived, is the more likely cause of the crashes that it shares
-// with e: it has never been served, and e has or was not there at another of its crashes. The reports on e's part in a crash that
-// was recorded just now may still be on their way.
-func (holder *partEntry) explains(now time.Time, e *partEntry) bool {
-	if holder == e || holder.usual() {
-		return false
-	}
-	return e.usual() || slices.ContainsFunc(holder.crashes, func(c partCrash) bool {
-		return now.Sub(c.recorded) >= partSettleTime && indexOf(e.crashes, c.id) < 0
-	})
-}
-
-// explained reports whether a held part explains a crash that is to be held against e. The caller holds mu.
-func (t *PartTable) explained(now time.Time, e *partEntry, crash string) bool {
-	for _, holder := range t.held {
-		if holder.settled && indexOf(holder.crashes, crash) >= 0 && holder.explains(now, e) {
-			return true
-		}
-	}
-	return false
-}
-
-// explainAway removes the crashes that a held part explains from the other parts, which only accompanied it. The caller holds mu.
-func (t *PartTable) explainAway(now time.Time, holder *partEntry) {
-	for _, e := range t.entries {
-		if len(e.crashes) == 0 || !holder.explains(now, e) {
-			continue
-		}
-		before := t.describe(now, e)
-		e.crashes = slices.DeleteFunc(e.crashes, func(c partCrash) bool { return indexOf(holder.crashes, c.id) >= 0 })
-		if len(e.crashes) < before.Crashes {
-			t.onExplained(before, holder.part)
-		}
-		t.setHeld(now, e)
-		if e.empty() {
-			t.remove(e)
-		}
-	}
-}
-
 // Refused reports whether requests with the part are refused.
 func (t *PartTable) Refused(now time.Time, fingerprint uint64) bool {
 	t.mu.Lock()
@@ -548,7 +433,7 @@
 
 // reports returns reports of the crashes of e, and of its clearance.
 func (e *partEntry) reports(now time.Time) []CrashReport {
-	base := CrashReport{Account: e.account, Fingerprint: e.fingerprint, Part: e.part, Witnessed: e.observed, Trials: e.trials, spread: e.spread}
+	base := CrashReport{Account: e.account, Fingerprint: e.fingerprint, Part: e.part, Witnessed: e.observed, Trials: e.trials, shared: e.shared}
 	if !e.servedAt.IsZero() {
 		base.ServedAge = max(1, now.Sub(e.servedAt))
 	}
@@ -562,7 +447,7 @@
 		list = append(list, r)
 	}
 	for _, c := range e.crashes {
-		if c.local && e.usual() && now.Sub(c.at) < usualReportDelay {
+		if c.local && e.servedBefore() && now.Sub(c.at) < servedBeforeReportDelay {
 			continue
 		}
 		r := base
@@ -572,73 +457,6 @@
 	return list
 }
 
-// trialDue returns when the next trial of a held part is due: at once if the part cannot be told from another one, and in a day
-// once there have been all. The caller holds mu.
-func (t *PartTable) trialDue(e *partEntry) time.Time {
-	since := latest(latest(e.lastCrash(), e.lastTrial), e.heldSince)
-	shadowed := t.shadowed(e)
-	switch {
-	case e.trials >= maxTrials(shadowed):
-		return since.Add(heldRetention)
-	case e.crashedInTrial():
-		return since.Add(confirmedTrialDelay)
-	case shadowed && e.trials == 0:
-		return e.heldSince.Add(partSettleTime)
-	case shadowed:
-		return e.lastTrial.Add(shadowedTrialDelay)
-	}
-	return since.Add(partTrialDelays[e.trials])
-}
-
-// maxTrials returns the number of trials of a held part. One that cannot be told from another part has more, because a trial of the
-// part to blame would have a result.
-func maxTrials(shadowed bool) int {
-	if shadowed {
-		return maxShadowedTrials
-	}
-	return len(partTrialDelays)
-}
-
-// trialAllowed reports whether a trial of a part is due. The caller holds mu.
-func (t *PartTable) trialAllowed(now time.Time, e *partEntry) bool {
-	return e != nil && !e.heldSince.IsZero() && e.trials < maxTrials(t.shadowed(e)) && !now.Before(t.trialDue(e))
-}
-
-// AskTrial reports whether this VM should ask for a trial of a held part: one is due, and it has not asked just now.
-func (t *PartTable) AskTrial(now time.Time, fingerprint uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.lookup(now, fingerprint)
-	if !t.trialAllowed(now, e) || now.Sub(e.lastAsked) < trialAskInterval {
-		return false
-	}
-	e.lastAsked = now
-	return true
-}
-
-// AllowTrial reports whether one request with a held part may run as a trial, and counts the trial if so.
-func (t *PartTable) AllowTrial(now time.Time, fingerprint uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.lookup(now, fingerprint)
-	if !t.trialAllowed(now, e) {
-		return false
-	}
-	e.trials++
-	e.lastTrial, e.observed = now, true
-	return true
-}
-
-// RecordTrial counts a trial that another VM has granted to this one.
-func (t *PartTable) RecordTrial(now time.Time, fingerprint uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.lookup(now, fingerprint); t.trialAllowed(now, e) {
-		e.trials++
-		e.lastTrial = now
-	}
-}
-
 // Held returns the held parts, those with the most crashes first.
 func (t *PartTable) Held(now time.Time) []HeldPart {
 	t.mu.Lock()
@@ -662,7 +480,7 @@
 	defer t.mu.Unlock()
 	for fingerprint, e := range t.entries {
 		retention := clearanceRetention
-		if e.spread {
+		if e.shared {
 			retention = partClearanceRetention
 		}
 		if now.Sub(e.clearedAt) >= retention {
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -213,7 +213,7 @@
 	r.require(Refuse, "bad")
 }
 
-// A part that cannot be told from another one is tried again soon if a trial had no result, and refused once a trial has crashed an
+// A part that cannot be distinguished from another one is tried again soon if a trial had no result, and refused once a trial has crashed an
 // endpoint.
 func TestTrialsWithoutAResultAreRepeated(t *testing.T) {
 	r := newPartRig(t)
@@ -225,7 +225,7 @@
 		r.require(Wait, "one")
 		require.True(t, r.table.AllowTrial(r.now, PartFingerprint("one")))
 		require.False(t, r.table.AllowTrial(r.now, PartFingerprint("one")))
-		r.pass(shadowedTrialDelay)
+		r.pass(ambiguousTrialDelay)
 	}
 	require.True(t, r.table.AllowTrial(r.now, PartFingerprint("one")))
 	r.pass(100 * time.Millisecond)
--- a/pkg/suspect/syncer.go
+++ b/pkg/suspect/syncer.go
@@ -41,7 +41,7 @@
 	sweepInterval = 5 * time.Second
 )
 
-// crashRecord is what a Syncer keeps equal on all VMs: the crashes held against requests, or against parts of prompts.
+// crashRecord is what a Syncer keeps equal on all VMs: the crashes recorded for requests, or for parts of prompts.
 type crashRecord interface {
 	// Empty reports whether there is nothing to report.
 	Empty() bool
@@ -58,7 +58,7 @@
 	Retention() time.Duration
 }
 
-// requestRecord is the crashRecord of requests. A crash is not held against a request that this VM has recently served: a
+// requestRecord is the crashRecord of requests. A crash is not recorded for a request that this VM has recently served: a
 // clearance is recorded instead.
 type requestRecord struct {
 	*Table
@@ -124,18 +124,18 @@
 	crashes int
 	cleared bool
 	// The fields below are 0 for requests. clearedAt is in Unix nanoseconds.
-	clearedAt int64
-	usual     bool
-	trials    int
-	spread    bool
+	clearedAt    int64
+	servedBefore bool
+	trials       int
+	shared       bool
 }
 
-// NewSyncer returns the syncer of the crashes held against requests, for the VM with the ID self. members returns all known VMs.
+// NewSyncer returns the syncer of the crashes recorded for requests, for the VM with the ID self. members returns all known VMs.
 func NewSyncer(self string, table *Table, peerClient peer.Client, members func() []membership.Member, log logrus.FieldLogger) *Syncer {
 	return newSyncer(self, ServiceName, &requestRecord{Table: table}, peerClient, members, log)
 }
 
-// NewPartSyncer returns the syncer of the crashes held against parts of prompts.
+// NewPartSyncer returns the syncer of the crashes recorded for parts of prompts.
 func NewPartSyncer(self string, table *PartTable, peerClient peer.Client, members func() []membership.Member, log logrus.FieldLogger) *Syncer {
 	return newSyncer(self, PartServiceName, table, peerClient, members, log)
 }
@@ -267,7 +267,7 @@
 // summarize sums up the reports on one request, of which there must be at least one.
 func summarize(reports []CrashReport) summary {
 	first := reports[0]
-	s := summary{crashes: len(reports), usual: first.ServedAge > 0, trials: first.Trials, spread: first.spread || first.Part == ""}
+	s := summary{crashes: len(reports), servedBefore: first.ServedAge > 0, trials: first.Trials, shared: first.shared || first.Part == ""}
 	if first.Cleared {
 		s.cleared, s.crashes = true, len(reports)-1
 	}
@@ -284,7 +284,7 @@
 	if slices.Contains(homes, vm) && (home || reports[0].Witnessed) {
 		return true
 	}
-	return home && (state.cleared && state.spread || state.crashes >= broadcastThreshold)
+	return home && (state.cleared && state.shared || state.crashes >= broadcastThreshold)
 }
 
 // homesOf returns the IDs of the VMs that count a request's crashes, by rendezvous hash of ID and fingerprint, in order of
@@ -380,8 +380,8 @@
 		s.log.WithFields(fields).Info("crash report changed the state of a request")
 		return
 	}
-	fields["event"], fields["part"], fields["seen_by"] = "part_told", r.Part, r.SeenBy
-	fields["served_before"], fields["trials"] = after.usual, after.trials
+	fields["event"], fields["part"], fields["seen_by"] = "part_reported", r.Part, r.SeenBy
+	fields["served_before"], fields["trials"] = after.servedBefore, after.trials
 	s.log.WithFields(fields).Info("crash report changed the state of a prompt part")
 }
 
--- a/pkg/suspect/table.go
+++ b/pkg/suspect/table.go
@@ -92,7 +92,7 @@
 	crashes []string
 	// lastCrash is the time of the latest crash.
 	lastCrash time.Time
-	// clearedAt is when the request last received a complete response; crashes up to then are not held against it.
+	// clearedAt is when the request last received a complete response; crashes up to then do not count.
 	clearedAt time.Time
 	// observed says that this VM itself has seen a crash of the request, or its complete response.
 	observed bool
@@ -323,9 +323,9 @@
 	Trials    int
 	TrialAge  time.Duration
 
-	// clearedAt and spread are the state of a part's entry. They are not sent.
+	// clearedAt and shared are the state of a part's entry. They are not sent.
 	clearedAt time.Time
-	spread    bool
+	shared    bool
 }
 
 // Reports returns reports of the crashes and clearances of all requests.
