--- a/pkg/suspect/part_hold.go
+++ b/pkg/suspect/part_hold.go
@@ -61,18 +61,6 @@
 	return t.ambiguous(e) && !e.crashedInTrial() && now.Sub(e.heldSince) < undecidedTime
 }
 
-// crashedInTrial reports whether an endpoint has crashed since the latest trial.
-func (e *partEntry) crashedInTrial() bool { return e.trials > 0 && e.lastCrash().After(e.lastTrial) }
-
-// CountRefusal counts a refusal of a request with the part.
-func (t *PartTable) CountRefusal(fingerprint uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[fingerprint]; e != nil {
-		e.refusals++
-	}
-}
-
 // explains reports whether a held part, of which all reports have arrived, is the more likely cause of the crashes that it shares
 // with e: it has never been served, and e has or was not there at another of its crashes. The reports on e's part in a crash that
 // was recorded just now may still be on their way.
--- a/pkg/suspect/part_trials.go
+++ b/pkg/suspect/part_trials.go
@@ -75,3 +75,6 @@
 		e.lastTrial = now
 	}
 }
+
+// crashedInTrial reports whether an endpoint has crashed since the latest trial.
+func (e *partEntry) crashedInTrial() bool { return e.trials > 0 && e.lastCrash().After(e.lastTrial) }
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -166,6 +166,15 @@
 	return decision, described
 }
 
+// CountRefusal counts a refusal of a request with the part.
+func (t *PartTable) CountRefusal(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[fingerprint]; e != nil {
+		e.refusals++
+	}
+}
+
 // describe returns the description of an entry. The caller holds mu.
 func (t *PartTable) describe(now time.Time, e *partEntry) HeldPart {
 	h := HeldPart{
