--- a/pkg/suspect/part_trials.go
+++ b/pkg/suspect/part_trials.go
@@ -9,8 +9,8 @@
 // confirmedTrialDelay is the delay of a trial after one that has crashed an endpoint.
 const confirmedTrialDelay = 30 * time.Minute
 
-// trialDue returns when the next trial of a held part is due: at once if the part cannot be distinguished from another one, and in a day
-// once there have been all. The caller holds mu.
+// trialDue returns when the next trial of a held part is due: at once if the part cannot be distinguished from another one, and
+// in a day once there have been all. The caller holds mu.
 func (t *PartTable) trialDue(e *partEntry) time.Time {
 	since := latest(latest(e.lastCrash(), e.lastTrial), e.heldSince)
 	ambiguous := t.ambiguous(e)
@@ -27,8 +27,8 @@
 	return since.Add(partTrialDelays[e.trials])
 }
 
-// maxTrials returns the number of trials of a held part. One that cannot be distinguished from another part has more, because a trial of the
-// part to blame would have a result.
+// maxTrials returns the number of trials of a held part. One that cannot be distinguished from another part has more, because a
+// trial of the part to blame would have a result.
 func maxTrials(ambiguous bool) int {
 	if ambiguous {
 		return maxAmbiguousTrials
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -24,8 +24,8 @@
 	// partSettleTime is the time between the crash that makes a part held and the first refusal. Within it, the reports of other
 	// VMs arrive, on this part and on those that were there at the same crashes; requests with it wait.
 	partSettleTime = 100 * time.Millisecond
-	// undecidedTime is the time for which requests with a part that cannot be distinguished from another one wait for a trial, and are not
-	// refused. ambiguousTrialDelay is the time between two such trials without a result, maxAmbiguousTrials their number.
+	// undecidedTime is the time for which requests with a part that cannot be distinguished from another one wait for a trial, and
+	// are not refused. ambiguousTrialDelay is the time between two such trials without a result, maxAmbiguousTrials their number.
 	undecidedTime       = 10 * time.Second
 	ambiguousTrialDelay = time.Second
 	maxAmbiguousTrials  = 10
@@ -46,9 +46,9 @@
 	heldRetention = 24 * time.Hour
 )
 
-// PartTable records the crashes recorded for parts of prompts, which different requests share. A part is held, and requests with
-// it are refused, once partCrashes endpoints have crashed while requests with it had received nothing, and it has not been served
-// since. It is safe for concurrent use.
+// PartTable records crashes of endpoints for the parts of prompts, which different requests share. A part is held, and requests
+// with it are refused, once partCrashes endpoints have crashed while requests with it had received nothing, and it has not been
+// served since. It is safe for concurrent use.
 type PartTable struct {
 	self string
 	// size is the number of entries. It is read without mu, so that requests cost nothing extra while there are none.
