--- a/pkg/connlimit/timeouts_test.go
+++ b/pkg/connlimit/timeouts_test.go
@@ -93,8 +93,9 @@
 
 // A connection whose request is still being served must not be closed, however long the request takes.
 func TestBusyConnectionIsKept(t *testing.T) {
-	release := make(chan struct{})
+	begun, release := make(chan struct{}), make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
 		<-release
 		_, _ = io.WriteString(w, "ok")
 	}))
@@ -107,6 +108,8 @@
 		defer close(done)
 		sendRequest(t, conn)
 	}()
+	// Before the connection has been accepted, no connection is waiting either.
+	<-begun
 	require.Eventually(t, func() bool { return watch.countWaiting(true)+watch.countWaiting(false) == 0 }, 5*time.Second, time.Millisecond)
 	watch.CloseExpired(Timeouts{}, time.Now().Add(time.Hour))
 	close(release)
