--- a/review/testdata/cases/main.go
+++ b/review/testdata/cases/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(w *world, trouble bool) bool{
 	"lost-machine":    lostMachine,
 	"hundred-entries": hundredEntries,
+	"lost-stewards":   lostStewards,
 }
 
 func main() { os.Exit(run()) }
--- a/review/testdata/cases/recover.go
+++ b/review/testdata/cases/recover.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -83,3 +85,41 @@
 	v.writeSettings(false)
 	v.start()
 }
+
+// lostStewards: all VMs that hold leases are lost for good at the same moment, and the others are left. The holders are those
+// that write to the store under a condition.
+func lostStewards(w *world, trouble bool) bool {
+	const accounts, vms = 5, 10
+	w.start(vms, accounts)
+	before := w.send("before", sharePhase, accounts)
+	if trouble {
+		lost := w.holders()
+		if len(lost) == vms {
+			panic(errors.New("all VMs write to the store under a condition"))
+		}
+		w.powerOff(lost)
+		var dark sync.WaitGroup
+		for _, v := range lost {
+			dark.Go(v.goDark)
+		}
+		dark.Wait()
+	}
+	w.send("recovery", recoveryTime, accounts)
+	return recovered(w, before, w.send("after", afterPhase, accounts))
+}
+
+// holderInterval is the time within which each holder of leases writes its session.
+const holderInterval = 3 * time.Second
+
+// holders returns the VMs that have lately written their sessions to the store.
+func (w *world) holders() []*vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*vm
+	for _, v := range w.vms {
+		if time.Since(w.sessions[v.name]) < holderInterval {
+			list = append(list, v)
+		}
+	}
+	return list
+}
--- a/review/testdata/cases/traffic.go
+++ b/review/testdata/cases/traffic.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +22,8 @@
 	requestInterval = 100 * time.Millisecond
 	// timeBudget is how long a client waits for a request in all, with its retry.
 	timeBudget = 5 * time.Second
+	// connectTime is how long a client allows for a new connection.
+	connectTime = time.Second
 	// safeShare is the share of requests to the plain service.
 	safeShare = 0.1
 	// popularity is the exponent of the distribution of requests over adapters. As on every standard day, the demand moves on:
@@ -80,11 +83,6 @@
 	deadline := time.Now().Add(timeBudget)
 	for attempt := range 2 {
 		v := w.pick()
-		if v == nil {
-			w.logf("%s: no VM is in rotation", phase)
-			time.Sleep(min(time.Second, time.Until(deadline)/3))
-			continue
-		}
 		status, retryAfter, served := w.attempt(phase, v, key, prefix, adapter, time.Until(deadline))
 		if served {
 			return true
@@ -97,7 +95,7 @@
 	return false
 }
 
-// pick returns a VM in rotation, or nil.
+// pick returns a VM in rotation. If there is none, the platform uses all VMs.
 func (w *world) pick() *vm {
 	var list []*vm
 	for _, v := range w.vms {
@@ -106,7 +104,7 @@
 		}
 	}
 	if len(list) == 0 {
-		return nil
+		list = w.vms
 	}
 	return list[w.intN(len(list))]
 }
@@ -125,7 +123,8 @@
 		r.Prompt = []dialect.PromptPart{{ID: "5c1e07a2", Tokens: 155}, {ID: fmt.Sprintf("%08x", w.intN(1<<30)), Tokens: 491}}
 	}
 	r.SetHeaders(req.Header)
-	client := &http.Client{Timeout: left, Transport: &http.Transport{DisableKeepAlives: true}}
+	dialer := &net.Dialer{Timeout: connectTime}
+	client := &http.Client{Timeout: left, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 	began := time.Now()
 	res, err := client.Do(req)
 	if err != nil {
--- a/review/testdata/cases/world.go
+++ b/review/testdata/cases/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +60,8 @@
 	record *os.File
 	random *rand.Rand
 	ranks  *rand.Zipf
+	// sessions are the times at which VMs last wrote their sessions to the store.
+	sessions map[string]time.Time
 	// largest is the number of entries of the largest transaction, rejected the number of those with too many.
 	largest, rejected int
 	closed            bool
@@ -77,7 +80,7 @@
 		return nil, err
 	}
 	w := &world{
-		binary: binary, dir: dir, begun: time.Now(), store: standin.NewStore(), audit: standin.NewAudit(), record: file,
+		binary: binary, dir: dir, begun: time.Now(), sessions: map[string]time.Time{}, store: standin.NewStore(), audit: standin.NewAudit(), record: file,
 		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	}
 	w.ranks = rand.NewZipf(w.random, popularity, 1, adapterCount-1)
@@ -104,7 +107,9 @@
 	}
 	var body struct {
 		Expected []json.RawMessage `json:"expected"`
-		Set      []json.RawMessage `json:"set_keys"`
+		Set      []struct {
+			Key string `json:"key"`
+		} `json:"set_keys"`
 		Remove   []json.RawMessage `json:"remove"`
 	}
 	if err := json.Unmarshal(data, &body); err != nil {
@@ -118,6 +123,11 @@
 	if tooMany {
 		w.rejected++
 	}
+	for _, row := range body.Set {
+		if name, ok := strings.CutPrefix(row.Key, "lease/session/"); ok {
+			w.sessions[name] = time.Now()
+		}
+	}
 	w.mu.Unlock()
 	if tooMany {
 		w.logf("store: transaction with %d entries answered 400 (at most %d)", entries, maxEntries)
