Review case 5: after a drill of the store a VM orders again at once, though another one ordered in between

Engines get orders from two machines in turn within lease_ms (rule ONE): the row that the copy brings back does not name the VM that held the lease in between, and the VM that had handed the lease over keeps no wait.

--- a/review/testdata/cases/main.go
+++ b/review/testdata/cases/main.go
@@ -28,6 +28,7 @@
 	"lost-machine":    lostMachine,
 	"hundred-entries": hundredEntries,
 	"lost-stewards":   lostStewards,
+	"store-drill":     storeDrill,
 }
 
 func main() { os.Exit(run()) }
--- a/review/testdata/cases/traffic.go
+++ b/review/testdata/cases/traffic.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// requestInterval is the time between two requests.
+	// requestInterval is the usual time between two requests.
 	requestInterval = 100 * time.Millisecond
 	// timeBudget is how long a client waits for a request in all, with its retry.
 	timeBudget = 5 * time.Second
@@ -52,7 +52,7 @@
 func (w *world) send(phase string, length time.Duration, accounts int) *outcome {
 	o := &outcome{}
 	var pending sync.WaitGroup
-	ticker := time.NewTicker(requestInterval)
+	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
@@ -98,13 +98,14 @@
 // pick returns a VM in rotation. If there is none, the platform uses all VMs.
 func (w *world) pick() *vm {
 	var list []*vm
-	for _, v := range w.vms {
+	all := w.list()
+	for _, v := range all {
 		if v.inRotation() {
 			list = append(list, v)
 		}
 	}
 	if len(list) == 0 {
-		list = w.vms
+		list = all
 	}
 	return list[w.intN(len(list))]
 }
--- a/review/testdata/cases/vm.go
+++ b/review/testdata/cases/vm.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -194,13 +195,20 @@
 func (w *world) balance() {
 	client := &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
-		for _, v := range w.vms {
+		for _, v := range w.list() {
 			go v.check(client)
 		}
 		time.Sleep(time.Second)
 	}
 }
 
+// list returns the VMs.
+func (w *world) list() []*vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.vms)
+}
+
 // check asks the VM once whether it is ready. Two misses take it out of rotation.
 func (v *vm) check(client *http.Client) {
 	res, err := client.Get("http://" + v.readiness + "/readyz")
--- a/review/testdata/cases/world.go
+++ b/review/testdata/cases/world.go
@@ -14,12 +14,13 @@
 	"sync"
 	"time"
 
+	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/platform/standin"
 )
 
 // Figures of the deployment. The bounds are those of the users' small deployments.
 const (
-	engineCount   = 3
+	usualEngines  = 3
 	serviceCount  = 2
 	adapterCount  = 3000
 	adapterSlots  = 6
@@ -53,6 +54,11 @@
 	audit       *standin.Audit
 	server      *http.Server
 	vms         []*vm
+	// engines is the number of engines, interval the time between two requests.
+	engines  int
+	interval time.Duration
+	// handovers receives the leases of engines that their holders hand over.
+	handovers chan handover
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -80,7 +86,8 @@
 		return nil, err
 	}
 	w := &world{
-		binary: binary, dir: dir, begun: time.Now(), sessions: map[string]time.Time{}, store: standin.NewStore(), audit: standin.NewAudit(), record: file,
+		binary: binary, dir: dir, begun: time.Now(), sessions: map[string]time.Time{},
+		engines: usualEngines, interval: requestInterval, handovers: make(chan handover, 100), store: standin.NewStore(), audit: standin.NewAudit(), record: file,
 		random: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)),
 	}
 	w.ranks = rand.NewZipf(w.random, popularity, 1, adapterCount-1)
@@ -108,7 +115,8 @@
 	var body struct {
 		Expected []json.RawMessage `json:"expected"`
 		Set      []struct {
-			Key string `json:"key"`
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
 		} `json:"set_keys"`
 		Remove   []json.RawMessage `json:"remove"`
 	}
@@ -134,6 +142,9 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, row := range body.Set {
+		w.noteHandover(row.Key, row.Value)
+	}
 	r.Body = io.NopCloser(bytes.NewReader(data))
 	w.store.ServeHTTP(out, r)
 }
@@ -178,7 +189,7 @@
 
 // start starts the endpoints and as many VMs, and writes the operator's configuration with as many client accounts.
 func (w *world) start(vms, accounts int) {
-	for i := range engineCount {
+	for i := range w.engines {
 		w.startEndpoint(engineGroup, i)
 	}
 	for i := range serviceCount {
@@ -203,7 +214,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	cfg := standin.EndpointConfig{
-		ID: fmt.Sprintf("%s-%d", group, n+1), Group: group, FailureDomain: domains[n%len(domains)], Slots: 8,
+		ID: endpointID(group, n), Group: group, FailureDomain: domains[n%len(domains)], Slots: 8,
 		RunTime: 20 * time.Millisecond, HeartbeatInterval: heartbeat,
 	}
 	if group == engineGroup {
@@ -253,5 +264,18 @@
 	}
 }
 
+// hasEngine reports whether a lease is that of an engine. VMs divide the engines among the leases by a hash of their IDs.
+func (w *world) hasEngine(lease string) bool {
+	for i := range w.engines {
+		if orders.LeaseOf(endpointID(engineGroup, i)) == orders.LeasePrefix+lease {
+			return true
+		}
+	}
+	return false
+}
+
+// endpointID returns the ID of an endpoint of a group.
+func endpointID(group string, n int) string { return fmt.Sprintf("%s-%d", group, n+1) }
+
 // settingsPath returns the path of a VM's settings file.
 func (w *world) settingsPath(vm string) string { return filepath.Join(w.dir, vm+".conf") }
