--- a/review/testdata/cases/traffic.go
+++ b/review/testdata/cases/traffic.go
@@ -35,8 +35,8 @@
 
 // outcome counts what became of requests.
 type outcome struct {
-	mu                   sync.Mutex
-	sent, served, ignore int
+	mu           sync.Mutex
+	sent, served int
 }
 
 func (o *outcome) share() float64 {
