Orders: keep the gap also if the rows may lack a holder in between

Cause: a VM that gets a lease back waits for 3 s after its own last order only if the row says that another VM had the lease in between. The row came from the copy, which names the VM itself as the last holder.

Change: a grant says what its row cannot show: Unrecorded, for the first claim of a lease in a generation of the store and for a lease that was free for a takeover without the store; HistoryLost, once the store has returned from a copy. The owner then counts from its own last order, or from its start if an earlier process may have given orders. By reading, three more orders of events had the same cause: the new holder gets the lease back, it restarts in between, and a takeover without the store that no row shows.

TestOrdersWaitAfterAReturnUndoesAHandover and all cases of TestOrdersWaitIfRowsMayLackAHolder fail with the old decision.

--- a/pkg/lease/guard.go
+++ b/pkg/lease/guard.go
@@ -206,5 +206,8 @@
 	// The holder, unless it is this VM, and the successors before this VM are proven gone.
 	m.fleet.Announce()
 	gone := rank > 0 && len(m.notGone(l.LingeringHolders)) == 0
-	m.gain(name, r, eventTake, Grant{Name: name, Fencing: fencing, PreviousProvenGone: gone, Recent: l.recentHolders()})
+	m.gain(name, r, eventTake, Grant{
+		Name: name, Fencing: fencing, PreviousProvenGone: gone, Recent: l.recentHolders(),
+		Unrecorded: m.unrecorded(l), HistoryLost: m.generation > 0,
+	})
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -35,6 +35,11 @@
 	Note []byte
 	// Recent lists the VMs that held the lease before, most recent first. This VM may be among them.
 	Recent []string
+	// Unrecorded says that another VM may have held the lease after the first one in Recent without the rows showing it:
+	// the table service has lost later claims, or the lease was free for a takeover without the table.
+	Unrecorded bool
+	// HistoryLost says that the table service has returned from an older copy at some time, so that Recent may lack VMs.
+	HistoryLost bool
 }
 
 // Holder is the holder of a lease as far as this VM knows.
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -37,6 +37,8 @@
 	target membership.Member
 	// generation is the generation of the table service, replacedFencing the fencing number that the row had.
 	generation, replacedFencing uint64
+	// unrecorded is the field of the same name in the grant.
+	unrecorded bool
 }
 
 func (c rowChange) grant() Grant {
@@ -48,6 +50,8 @@
 		State:              c.state,
 		Note:               c.note,
 		Recent:             c.row.Recent,
+		Unrecorded:         c.unrecorded,
+		HistoryLost:        c.generation > 0,
 	}
 }
 
@@ -266,7 +270,7 @@
 func (m *Manager) planClaim(p *plan, name string, l lease, live []membership.Member) {
 	c := rowChange{
 		name: name, row: m.newRow(name, nextFencing(l.Fencing, m.generation), live), version: l.version,
-		generation: m.generation, replacedFencing: l.Fencing,
+		generation: m.generation, replacedFencing: l.Fencing, unrecorded: m.unrecorded(l),
 	}
 	c.row.LingeringHolders = m.lingeringHolders(l)
 	c.row.Recent = l.recentHolders()
@@ -283,6 +287,12 @@
 	}
 }
 
+// unrecorded reports whether a VM may have held the lease later than the row shows. m.mu is held.
+func (m *Manager) unrecorded(l lease) bool {
+	handedOver := l.version != 0 && l.Holder == ""
+	return handedOver || !claimedInGeneration(l.Fencing, m.generation)
+}
+
 // end adds a session to those that the plan ends.
 func (p *plan) end(s session) {
 	if p.ends == nil {
--- a/pkg/orders/orders_test.go
+++ b/pkg/orders/orders_test.go
@@ -306,6 +306,33 @@
 	})
 }
 
+// The rows may lack a VM that has held the lease in between. Guards against new orders too soon after this VM's old ones, also
+// if those were sent by an earlier process that the rows do not name.
+func TestOrdersWaitIfRowsMayLackAHolder(t *testing.T) {
+	for name, grant := range map[string]lease.Grant{
+		"claims lost":              {Recent: []string{"vm1"}, Unrecorded: true, HistoryLost: true},
+		"own claim lost":           {Recent: []string{"vm2"}, HistoryLost: true},
+		"free for other VMs":       {Recent: []string{"vm1"}, Unrecorded: true},
+		"own claim lost, no other": {Unrecorded: true, HistoryLost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFixture(t, func(f *fixture) {
+				grant.Name, grant.Fencing = LeaseOf(f.id.ID), 7
+				started := time.Now()
+				f.s.LeaseGained(grant)
+				require.Equal(t, Granted, f.acquire(f.newArgs("a")).Status)
+				require.GreaterOrEqual(t, f.engines.receivedOrders()[0].at.Sub(started), 3*time.Second, "after the start of the process")
+
+				f.s.LeaseLost(grant.Name)
+				lost, before := time.Now(), len(f.engines.receivedOrders())
+				f.s.LeaseGained(grant)
+				require.Equal(t, Granted, f.acquire(f.newArgs("b")).Status)
+				require.GreaterOrEqual(t, f.engines.receivedOrders()[before].at.Sub(lost), 3*time.Second, "after the loss of the lease")
+			})
+		})
+	}
+}
+
 // Requests for an engine that cannot be reached must be rejected at once.
 func TestUnreachableEngineRejectsAtOnce(t *testing.T) {
 	runWithFixture(t, func(f *fixture) {
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -130,15 +130,16 @@
 const orderGapMargin = 100 * time.Millisecond
 
 // earliestOrder returns the time from which this VM may send orders under a lease that it has gained. If it
-// held the lease earlier and another VM held it in between, there must be a minimum gap between
+// may have held the lease earlier and another VM in between, there must be a minimum gap between
 // its old orders and its new ones. s.mu must be held.
 func (s *Service) earliestOrder(grant lease.Grant) time.Time {
-	if len(grant.Recent) == 0 || grant.Recent[0] == s.cfg.Self || !slices.Contains(grant.Recent, s.cfg.Self) {
-		return time.Time{}
+	last, held := s.lostAt[grant.Name]
+	if !held {
+		last, held = s.cfg.Started, grant.HistoryLost || slices.Contains(grant.Recent, s.cfg.Self)
 	}
-	last, ok := s.lostAt[grant.Name]
-	if !ok {
-		last = s.cfg.Started
+	inBetween := grant.Unrecorded || len(grant.Recent) > 0 && grant.Recent[0] != s.cfg.Self
+	if !held || !inBetween {
+		return time.Time{}
 	}
 	return last.Add(s.cfg.MinOrderGap + orderGapMargin)
 }
