Gateway: unfinished responses of one endpoint leave memory for others

Cause: one budget for the bodies of requests and the unfinished responses of all endpoints. A few responses without a stated length, kept until their end, took all of it. Memory as such was bounded.

Change: responses take at most half of the budget, those of one endpoint half of that; a response that breaks off returns its memory at once.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -69,6 +69,8 @@
 	body    []byte
 	// heldMemory is the memory that the request has taken from the budget, in bytes.
 	heldMemory int64
+	// heldByResponses is the memory that endpoints' responses to the request have taken.
+	heldByResponses []heldMemory
 	// cachedFingerprint is the request's fingerprint; 0 until it has been computed.
 	cachedFingerprint uint64
 	// cachedParts are the shared parts of the prompt; nil until they have been collected.
@@ -134,6 +136,7 @@
 			c.cancel()
 		}
 		c.g.cfg.Memory.Release(c.heldMemory)
+		c.releaseResponses()
 	}()
 	for {
 		step, ok := steps[c.stateMachine.State()]
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,6 +87,42 @@
 	}
 }
 
+// Guards against the loss of other callers' requests to an endpoint whose responses do not end: its unfinished responses take
+// at most a share of the memory, so that bodies of requests and responses of other endpoints find some.
+func TestUnfinishedResponsesLeaveMemoryForOthers(t *testing.T) {
+	for path, part := range map[string]string{"/unsafe/": "junk", "/stream/": "data: junk"} {
+		filling := make(chan struct{}, 100)
+		stalled := func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat(part, 40<<10/len(part)))
+			_ = http.NewResponseController(w).Flush()
+			filling <- struct{}{}
+			<-r.Context().Done()
+		}
+		echo := func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_ = http.NewResponseController(w).Flush()
+			_, _ = w.Write(body)
+		}
+		b := newTestbed(t, stalled, echo)
+		b.rules.Bundle.Callers.BodyBytes = 0
+		var callers sync.WaitGroup
+		for range 40 {
+			callers.Go(func() { b.do(path, map[string]string{"Patience": "1500"}, "") })
+		}
+		for range 40 {
+			<-filling
+		}
+		body := strings.Repeat("x", 100<<10)
+		require.Eventually(t, func() bool { return b.memory.Used() > 200<<10 }, time.Second, time.Millisecond, path)
+		b.dispatcher.reverse()
+		a := b.do("/safe/", nil, body)
+		require.Equal(t, 200, a.status, path)
+		require.Len(t, a.body, len(body), path)
+		callers.Wait()
+		require.Zero(t, b.memory.Used())
+	}
+}
+
 // When there is no memory to buffer a response, it is passed on as it arrives. When there is none for a request
 // body, the request is refused; when there is none for an event, the stream breaks off.
 func TestMemoryForBodiesAndResponsesIsBounded(t *testing.T) {
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -84,4 +84,4 @@
 func (e *eventSplitter) rest() []byte { return e.pending }
 
 // discardPending discards the event that a broken stream has left incomplete.
-func (e *eventSplitter) discardPending() { e.pending = e.pending[:0] }
+func (e *eventSplitter) discardPending() { e.pending = nil }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -121,15 +121,16 @@
 
 // Gateway is the HTTP handler for the requests of callers. It is safe for concurrent use.
 type Gateway struct {
-	cfg      Config
-	meters   meters
-	draining atomic.Bool
-	running  atomic.Int64
+	cfg       Config
+	meters    meters
+	responses *responseMemory
+	draining  atomic.Bool
+	running   atomic.Int64
 }
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics)}
+	return &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics), responses: newResponseMemory(cfg.Memory)}
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -111,6 +112,13 @@
 	return Placement{}, result.New(result.NoEndpoint, "no endpoint is left")
 }
 
+// reverse reverses the order in which endpoints are chosen.
+func (p *scriptedDispatcher) reverse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slices.Reverse(p.endpoints)
+}
+
 // fixedAdmitter is an Admitter with a fixed balance.
 type fixedAdmitter struct {
 	mu       sync.Mutex
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -84,8 +84,9 @@
 	if stated {
 		reader = io.LimitReader(reader, bufferLimit)
 	}
-	body, held, err := c.g.cfg.Memory.ReadAll(reader, c.response.Length, 0)
-	c.heldMemory += held
+	budget := c.g.responses.budget(c.placement.Endpoint.ID)
+	body, held, err := budget.ReadAll(reader, c.response.Length, 0)
+	c.holdMemory(budget, held)
 	if err != nil && !(stated && errors.Is(err, memory.ErrExhausted)) {
 		return c.responseCut(err)
 	}
@@ -172,11 +173,12 @@
 		return nil, err
 	}
 	if more := int64(cap(c.relay.events.pending)) - c.relay.heldMemory; more > 0 {
-		if !c.g.cfg.Memory.Reserve(more) {
+		budget := c.g.responses.budget(c.placement.Endpoint.ID)
+		if !budget.Reserve(more) {
 			return nil, memory.ErrExhausted
 		}
 		c.relay.heldMemory += more
-		c.heldMemory += more
+		c.holdMemory(budget, more)
 	}
 	return complete, nil
 }
@@ -232,6 +234,9 @@
 		return c.fail(broken)
 	}
 	c.relay.events.discardPending()
+	if c.fallback == nil {
+		c.releaseResponses()
+	}
 	event := c.retry(broken)
 	if event == eventAgain && c.relay.headSent {
 		c.g.meters.resumed.Inc(1)
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -12,6 +12,9 @@
 type Budget struct {
 	limit atomic.Int64
 	used  atomic.Int64
+	// parent is the budget of which this one is a share; nil if it is none. share is the part of the parent's limit.
+	parent *Budget
+	share  float64
 }
 
 // NewBudget returns a Budget of limit bytes.
@@ -21,12 +24,24 @@
 	return b
 }
 
-// SetLimit changes the limit. Bytes already reserved stay reserved, even if they exceed the new limit.
+// Share returns a budget whose bytes are reserved in b too, and that takes at most a share, from 0 to 1, of b's limit. What
+// uses it leaves the rest of b to others.
+func (b *Budget) Share(share float64) *Budget { return &Budget{parent: b, share: share} }
+
+// bytes returns the limit in bytes.
+func (b *Budget) bytes() int64 {
+	if b.parent != nil {
+		return int64(b.share * float64(b.parent.bytes()))
+	}
+	return b.limit.Load()
+}
+
+// SetLimit changes the limit, which has no effect on a share. Bytes already reserved stay reserved, even if they exceed the new limit.
 func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
 
 // Reserve reserves n bytes. It reports false, and reserves nothing, if that would exceed the limit.
 func (b *Budget) Reserve(n int64) bool {
-	if b.used.Add(n) <= b.limit.Load() {
+	if b.used.Add(n) <= b.bytes() && (b.parent == nil || b.parent.Reserve(n)) {
 		return true
 	}
 	b.used.Add(-n)
@@ -34,7 +49,12 @@
 }
 
 // Release releases n reserved bytes.
-func (b *Budget) Release(n int64) { b.used.Add(-n) }
+func (b *Budget) Release(n int64) {
+	b.used.Add(-n)
+	if b.parent != nil {
+		b.parent.Release(n)
+	}
+}
 
 // Used returns the number of bytes reserved.
 func (b *Budget) Used() int64 { return b.used.Load() }
--- a/pkg/memory/budget_test.go
+++ b/pkg/memory/budget_test.go
@@ -10,6 +10,31 @@
 	"github.com/stretchr/testify/require"
 )
 
+// A share takes no more than its part of the budget, also after the limit has changed, and counts towards the budget.
+func TestShareLeavesTheRestToOthers(t *testing.T) {
+	b := NewBudget(100)
+	half := b.Share(0.5)
+	quarter := half.Share(0.5)
+	require.False(t, quarter.Reserve(26))
+	require.True(t, quarter.Reserve(25))
+	require.False(t, half.Reserve(26))
+	require.True(t, half.Reserve(25))
+	require.EqualValues(t, 50, b.Used())
+	require.True(t, b.Reserve(50))
+	b.SetLimit(200)
+	require.True(t, half.Reserve(50))
+	require.False(t, half.Reserve(1))
+	half.Release(75)
+	quarter.Release(25)
+	b.Release(50)
+	require.Zero(t, b.Used())
+	require.Zero(t, half.Used())
+	b.SetLimit(10)
+	require.True(t, b.Reserve(10))
+	require.False(t, quarter.Reserve(1), "the budget has nothing left")
+	require.Zero(t, quarter.Used())
+}
+
 // The announced size must not decide how many bytes are reserved: a caller could reserve the whole budget with a false one.
 func TestReadAllReservesOnlyForArrivedBytes(t *testing.T) {
 	for _, size := range []int{0, 1, 511, 512, 4096, 100_000} {
