Planned stop: requests are refused or answered, not cut

What callers saw (shown by a test, after an operator's report): requests that a stopping VM had passed on in its grace lost their connection at its end without an answer; requests that waited for an endpoint, or whose body came late, could be passed on so late that they met the same end.

Cause: a stop closed the listener and idle connections, and told nothing to requests that had been read. What was left before the end of the grace was closed with the server.

Change: once the balancer has had its time, requests that have not been sent are refused (4005, not run, Retry-After), before idle connections are closed, so that none is read on a connection being closed and passed on. At the end of the grace the rest is interrupted: 504 may-have-run, or 4005; a stream that has begun is broken off.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -37,8 +37,16 @@
 	defaultRetryAfter = time.Second
 )
 
-// errTimeLimit is the cause with which a request's context ends at its deadline.
-var errTimeLimit = errors.New("request time limit exceeded")
+// Causes with which a request's context ends.
+var (
+	// errTimeLimit says that the request's deadline has come.
+	errTimeLimit = errors.New("request time limit exceeded")
+	// errStopping says that this VM stops.
+	errStopping = errors.New("this VM is stopping")
+)
+
+// drainingRetryAfter is the Retry-After of requests that a stopping VM refuses: another VM can take them at once.
+const drainingRetryAfter = 100 * time.Millisecond
 
 // call is one request on its way through the states of call.chart. It belongs to the goroutine that serves the
 // request and is not safe for concurrent use.
@@ -198,6 +206,9 @@
 	if e := c.readBody(rules.Bundle.Callers.BodyBytes); e != nil {
 		return c.refuse(e)
 	}
+	if e := c.abortReason(); e != nil {
+		return c.refuse(e)
+	}
 	return eventAuthorize
 }
 
@@ -253,7 +264,15 @@
 	if !c.cancelable() {
 		parent = context.WithoutCancel(parent)
 	}
-	c.ctx, c.cancel = context.WithDeadlineCause(parent, c.deadline.Add(-responseMargin), errTimeLimit)
+	ctx, interrupt := context.WithCancelCause(parent)
+	forget := context.AfterFunc(c.g.working, func() { interrupt(errStopping) })
+	var cancel context.CancelFunc
+	c.ctx, cancel = context.WithDeadlineCause(ctx, c.deadline.Add(-responseMargin), errTimeLimit)
+	c.cancel = func() {
+		forget()
+		cancel()
+		interrupt(nil)
+	}
 }
 
 // cancelable reports whether the endpoint may drop the request when the caller leaves.
@@ -323,7 +342,7 @@
 		return c.refuse(e)
 	}
 	began := time.Now()
-	placement, err := c.requestPlacement(c.ctx)
+	placement, err := c.awaitPlacement()
 	c.waited += time.Since(began)
 	if err != nil {
 		if e := c.abortReason(); e != nil {
@@ -335,6 +354,18 @@
 	return eventPlace
 }
 
+// awaitPlacement waits for a placement, if the request has not run yet only while the gateway admits requests.
+func (c *call) awaitPlacement() (Placement, error) {
+	if c.runs > 0 {
+		return c.requestPlacement(c.ctx)
+	}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	forget := context.AfterFunc(c.g.admitting, func() { cancel(errStopping) })
+	defer forget()
+	return c.requestPlacement(ctx)
+}
+
 // dispatchRequest returns the description of the request for the dispatcher.
 func (c *call) dispatchRequest() Request {
 	return Request{
@@ -352,9 +383,14 @@
 	return c.cachedFingerprint
 }
 
-// abortReason returns why the call must end before it is sent: its caller has left or its time is up; nil if it
-// may go on.
+// abortReason returns why the call must end before it is sent: its caller has left, its time is up or this VM stops; nil if
+// it may go on.
 func (c *call) abortReason() *result.Error {
+	if errors.Is(context.Cause(c.ctx), errStopping) || c.runs == 0 && c.g.admitting.Err() != nil {
+		e := result.New(result.Draining, "this VM is stopping")
+		e.RetryAfter = drainingRetryAfter
+		return e
+	}
 	if c.ctx.Err() != nil && !errors.Is(context.Cause(c.ctx), errTimeLimit) {
 		e := result.New(result.CallerGone, "the caller closed the connection")
 		e.Outcome = result.NotRun
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -126,11 +126,18 @@
 	responses *responseMemory
 	draining  atomic.Bool
 	running   atomic.Int64
+	// admitting ends when requests that have not been sent to an endpoint must be refused, working when all requests must
+	// end.
+	admitting, working          context.Context
+	stopAdmitting, interruptAll context.CancelFunc
 }
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics), responses: newResponseMemory(cfg.Memory)}
+	g := &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics), responses: newResponseMemory(cfg.Memory)}
+	g.admitting, g.stopAdmitting = context.WithCancel(context.Background())
+	g.working, g.interruptAll = context.WithCancel(context.Background())
+	return g
 }
 
 // ServeHTTP implements http.Handler.
@@ -146,5 +153,15 @@
 // Drain makes the gateway close each connection after its next response.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// StopAdmitting makes the gateway refuse all requests that have not been sent to an endpoint yet, also those that wait for
+// one or arrive later: this VM may not live until they would end, and another VM can take them.
+func (g *Gateway) StopAdmitting() { g.stopAdmitting() }
+
+// Interrupt ends all requests. Those whose callers have got no part of a response get an error.
+func (g *Gateway) Interrupt() {
+	g.stopAdmitting()
+	g.interruptAll()
+}
+
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -153,6 +153,7 @@
 	retries      *retry.Window
 	keysValid    bool
 	rules        *Rules
+	gateway      *Gateway
 	server       *httptest.Server
 	received     chan *http.Request
 	logHook      *test.Hook
@@ -207,6 +208,7 @@
 		Quota: b.quota, Dispatcher: b.dispatcher, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{}), Suspects: b.suspects(), Memory: b.memory,
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
+	b.gateway = g
 	b.server = httptest.NewServer(g)
 	t.Cleanup(b.server.Close)
 	return b
@@ -231,19 +233,26 @@
 }
 
 func (b *testbed) send(path string, header map[string]string, body io.Reader) callerResponse {
-	req, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, b.server.URL+path, body)
+	resp, err := b.open(path, header, body)
 	require.NoError(b.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return callerResponse{resp.StatusCode, resp.Header, string(data), err != nil}
+}
+
+// open sends a request and returns once the head of the response has arrived. The calling code must close the body.
+func (b *testbed) open(path string, header map[string]string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, b.server.URL+path, body)
+	if err != nil {
+		return nil, err
+	}
 	req.Host = "h"
 	req.Header.Set("Id", "r1")
 	req.Header.Set("Key", "key")
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	resp, err := b.server.Client().Do(req)
-	require.NoError(b.t, err)
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	return callerResponse{resp.StatusCode, resp.Header, string(data), err != nil}
+	return b.server.Client().Do(req)
 }
 
 func respondWith(text string) handler {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -170,6 +170,12 @@
 
 // interrupted ends a call whose context has ended while an endpoint may be running it.
 func (c *call) interrupted() chart.Event {
+	if errors.Is(context.Cause(c.ctx), errStopping) {
+		if c.runs == 0 {
+			return c.refuse(c.abortReason())
+		}
+		return c.fail(result.New(result.EndpointTimeout, "this VM has stopped before the endpoint answered"))
+	}
 	if !errors.Is(context.Cause(c.ctx), errTimeLimit) {
 		return c.fail(result.New(result.CallerGone, "the caller closed the connection"))
 	}
--- a/pkg/gatewayd/drain_test.go
+++ b/pkg/gatewayd/drain_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log, _ := test.NewNullLogger()
 		begun := time.Now()
-		var closed time.Duration
+		var refused, closed time.Duration
 		ctx, cancel := context.WithTimeout(t.Context(), grace)
 		defer cancel()
 		drainer{
@@ -29,9 +29,12 @@
 			},
 			shutDown: func(context.Context) error {
 				closed = time.Since(begun)
+				require.Equal(t, closed, refused, "requests must be refused before idle connections are closed")
 				return nil
 			},
-			log: log,
+			refuse:    func() { refused = time.Since(begun) },
+			interrupt: func() { t.Error("no request was left to interrupt") },
+			log:       log,
 		}.run(ctx)
 		require.Equal(t, balancerDelay, closed)
 		require.Equal(t, grace, time.Since(begun), "the handover of the leases must be tried until the grace period ends")
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -43,7 +43,11 @@
 	// logFlushTimeout limits the wait for the last log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
 	// closeMargin is the part of the time until SIGKILL that is reserved for closing the components.
-	closeMargin = 600 * time.Millisecond
+	closeMargin = 800 * time.Millisecond
+	// interruptTimeout limits the wait for the errors of interrupted requests to be sent, and interruptPollInterval is the
+	// interval between two checks.
+	interruptTimeout      = 200 * time.Millisecond
+	interruptPollInterval = 5 * time.Millisecond
 	// endAnnouncementTimeout limits the wait for other VMs to respond to the announcement that this process has ended.
 	endAnnouncementTimeout = 150 * time.Millisecond
 )
@@ -207,8 +211,8 @@
 }
 
 // stop drains the process: it reports that it is not ready, hands its leases over, completes the requests under
-// way, and closes all components. Requests that still run shortly before SIGKILL are interrupted, and their
-// number is logged.
+// way, and closes all components. Requests that still run shortly before SIGKILL are interrupted: those whose callers have
+// got no part of a response are answered with an error, the others are cut. Their numbers are logged.
 func (p *process) stop(ctx context.Context) error {
 	p.components.Log.WithField("event", "drain_started").Info("drain before shutdown started")
 	begun := time.Now()
@@ -216,19 +220,33 @@
 	p.components.Gateway.Drain()
 	ctx, cancel := context.WithTimeout(ctx, p.components.LiveSettings.bounds().Grace-closeMargin)
 	defer cancel()
+	var interrupted int64
 	drainer{
 		handOver: p.components.Coordination.stewards.drain,
 		shutDown: p.components.Servers.callers.Shutdown,
-		log:      p.components.Log,
+		refuse:   p.components.Gateway.StopAdmitting,
+		interrupt: func() {
+			interrupted = p.components.Gateway.Running()
+			p.components.Gateway.Interrupt()
+		},
+		log: p.components.Log,
 	}.run(ctx)
 	p.components.Coordination.leases.Release()
+	p.awaitInterrupted()
 	cut := p.components.Gateway.Running()
 	p.close()
-	p.components.Log.WithFields(logrus.Fields{"event": "stopped", "took": time.Since(begun).Round(time.Millisecond), "cut": cut}).Info("gateway stopped")
+	p.components.Log.WithFields(logrus.Fields{"event": "stopped", "took": time.Since(begun).Round(time.Millisecond), "interrupted": interrupted, "cut": cut}).Info("gateway stopped")
 	p.components.EventLog.Close(logFlushTimeout)
 	return nil
 }
 
+// awaitInterrupted waits until the callers of interrupted requests have got their errors, for interruptTimeout at most.
+func (p *process) awaitInterrupted() {
+	for end := time.Now().Add(interruptTimeout); p.components.Gateway.Running() > 0 && time.Now().Before(end); {
+		time.Sleep(interruptPollInterval)
+	}
+}
+
 // announceEnd tells the other VMs that this process sends nothing more. Without that they would have to treat it like
 // one that does not respond but may still run.
 func (p *process) announceEnd() {
