--- a/test/soak/stop_test.go
+++ b/test/soak/stop_test.go
@@ -48,8 +48,13 @@
 	ended := v.signal(syscall.SIGTERM)
 	var calls sync.WaitGroup
 	for _, plan := range []struct{ opened, sent time.Duration }{
-		{0, 0}, {500 * time.Millisecond, time.Second}, {2 * time.Second, 2 * time.Second}, {2 * time.Second, 3 * time.Second},
-		{2200 * time.Millisecond, 4 * time.Second}, {2300 * time.Millisecond, 5 * time.Second}, {2300 * time.Millisecond, 6 * time.Second},
+		{0, 0},
+		{500 * time.Millisecond, time.Second},
+		{2 * time.Second, 2 * time.Second},
+		{2 * time.Second, 3 * time.Second},
+		{2200 * time.Millisecond, 4 * time.Second},
+		{2300 * time.Millisecond, 5 * time.Second},
+		{2300 * time.Millisecond, 6 * time.Second},
 	} {
 		calls.Go(func() {
 			time.Sleep(time.Until(begun.Add(plan.opened)))
