Gateway: interim responses are skipped, and broken streams are reset for HTTP/1.0

What callers saw (by tests, after an operator's report of heads that end in the middle, which cannot happen here): a stream that broke off looked whole to a caller of HTTP/1.0, and a request whose endpoint sent an interim response first ended as 502.

Cause: a response without chunks ends with its connection, which was closed in order in both cases; the first head on a connection was taken for the response, whatever its status.

Change: the connection of such a broken stream is reset; heads of status 1xx other than 101 are skipped within the bound of one head.

Evidence: TestBrokenStreamsLookIncompleteToOlderCallers, TestInterimResponsesAreSkipped and TestEndlessInterimResponsesFail fail with the change taken out. TestResponsesCutWithinTheirHeadFail cuts eight kinds of heads after each byte and passes before and after.

--- a/pkg/connlimit/limit.go
+++ b/pkg/connlimit/limit.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync/atomic"
 
+	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -62,6 +63,15 @@
 	closed   atomic.Bool
 }
 
+// SetLinger sets the behavior of Close as net.TCPConn.SetLinger does.
+func (c *limitedConn) SetLinger(sec int) error {
+	conn, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return errors.Errorf("%T has no linger option", c.Conn)
+	}
+	return conn.SetLinger(sec)
+}
+
 // Close closes the connection, which then no longer counts towards the limit. It may be called more than once.
 func (c *limitedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/bundle"
@@ -414,8 +415,7 @@
 	switch {
 	case state == stateAnswered:
 	case c.relay.headSent:
-		// The response is incomplete. Closing the connection lets the caller detect that.
-		panic(http.ErrAbortHandler)
+		c.breakOff()
 	case c.fallback != nil:
 		c.writeBuffered(c.fallback)
 	case c.failure != nil:
@@ -423,6 +423,33 @@
 	}
 }
 
+// breakOff ends a response of which a part has been passed on, so that the caller detects that it is incomplete. Callers of
+// HTTP/1.0 get streams that end with the connection, and detect only a reset of that.
+func (c *call) breakOff() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		if err := resetConnection(c.w); err != nil {
+			c.g.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "connection_not_reset", "id": c.terms.ID}).
+				Warn("could not reset the connection; the caller may take the response for complete")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the connection of a response.
+func resetConnection(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return errors.Wrap(err, "take over connection")
+	}
+	lingering, ok := conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		err = errors.Errorf("%T cannot be reset", conn)
+	} else {
+		err = lingering.SetLinger(0)
+	}
+	return errors.Join(err, conn.Close())
+}
+
 // recordMetrics updates the metrics for a call that has ended.
 func (c *call) recordMetrics(state chart.State) {
 	m := &c.g.meters
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -38,6 +38,31 @@
 // errHeadTooLarge says that the head of a response exceeds maxHeadBytes.
 var errHeadTooLarge = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
 
+// readHead reads the head of a response that is not an interim one. All heads until then share maxHeadBytes.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.headBytesLeft = maxHeadBytes
+	defer func() { c.headBytesLeft = -1 }()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.closeErr != nil && !ConnectionClosed(err) {
+			// The connection ended within the head, and the part that arrived is malformed: the end of the
+			// connection is the cause.
+			return nil, errors.Wrapf(c.closeErr, "read head: %v", err)
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read head")
+		}
+		if !interim(resp.StatusCode) {
+			return resp, nil
+		}
+	}
+}
+
+// interim reports whether a response with the status is followed by another one to the same request.
+func interim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // readBufferSize is the size of a connection's read buffer, in bytes. Most events and responses fit in it.
 const readBufferSize = 2 << 10
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -181,19 +181,12 @@
 	complete bool
 }
 
-// readHead reads the head of the response and skips stray responses.
+// readHead reads the head of the response and skips stray and interim responses.
 func (a *Response) readHead(req Request) error {
 	for range maxStrayResponses {
-		a.conn.headBytesLeft = maxHeadBytes
-		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: req.Method})
-		a.conn.headBytesLeft = -1
-		if err != nil && a.conn.closeErr != nil && !ConnectionClosed(err) {
-			// The connection ended within the head, and the part that arrived is malformed: the end of the
-			// connection is the cause.
-			return errors.Wrapf(a.conn.closeErr, "read head: %v", err)
-		}
+		resp, err := a.conn.readHead(req.Method)
 		if err != nil {
-			return errors.Wrap(err, "read head")
+			return err
 		}
 		info := a.client.dialect.Judge(resp.StatusCode, resp.Header)
 		if info.RequestID == req.ID || info.RequestID == "" && !(req.Echoed && a.conn.used) {
