Peer server: a failed accept no longer ends the process

Cause: Server.Serve returned any error of Accept, and the process takes that for a failed component.

Change: the error is logged and the accept tried again, after 5 ms at first and 1 s at most.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,6 +108,40 @@
 	}, 5*time.Second, time.Millisecond)
 }
 
+// failingListener fails as often as failures says before it accepts connections.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against the end of a process that could not accept a connection, as when its file descriptors run out.
+func TestServerSurvivesFailedAccepts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	log, lines := test.NewNullLogger()
+	server := NewServer(noTLS, NewTraffic(metrics.NewRegistry(), "peer"), log)
+	require.NoError(t, server.Register("Adder", &adder{}))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(&failingListener{Listener: listener, failures: 3}) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var sum int
+	require.NoError(t, newPool(t).Call(ctx, listener.Addr().String(), "Adder.Add", AddArgs{2, 3}, &sum))
+	require.Equal(t, 5, sum)
+	require.Len(t, lines.AllEntries(), 3)
+	require.NoError(t, listener.Close())
+	require.NoError(t, <-served)
+	server.Close()
+}
+
 func TestServerRejectsClientWithoutTLS(t *testing.T) {
 	strict := func() *tls.Config { return &tls.Config{ClientAuth: tls.RequireAndVerifyClientCert} }
 	_, listener := startServer(t, strict)
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -17,6 +17,10 @@
 	MaxConnections = 2048
 	// handshakeTimeout bounds the TLS handshake of a new connection.
 	handshakeTimeout = 5 * time.Second
+	// minAcceptDelay is the delay after a connection could not be accepted. It doubles with each further failure in a row,
+	// up to maxAcceptDelay.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
 )
 
 // Server serves RPC calls from other VMs. With TLS, only peers that complete the handshake can call a method.
@@ -51,16 +55,22 @@
 	return nil
 }
 
-// Serve accepts and serves connections until the listener is closed, and then returns nil.
+// Serve accepts and serves connections until the listener is closed, and then returns nil. After any other error, which may
+// be a connection that ended before it was accepted or a shortage of descriptors, it tries again.
 func (s *Server) Serve(listener net.Listener) error {
+	delay := minAcceptDelay
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept peer connection")
+			s.log.WithError(err).WithFields(logrus.Fields{"event": "peer_accept_failed", "retry_after": delay}).Error("cannot accept a connection from a peer")
+			time.Sleep(delay)
+			delay = min(2*delay, maxAcceptDelay)
+			continue
 		}
+		delay = minAcceptDelay
 		if !s.admit(conn) {
 			_ = conn.Close()
 			continue
