--- a/pkg/lease/measure_test.go
+++ b/pkg/lease/measure_test.go
@@ -38,6 +38,10 @@
 	}
 	faults := []fault{
 		{"process killed", func(f *fleet, v *fleettest.VM) { f.Kill(v) }},
+		{"process killed, restarted after 1 s", func(f *fleet, v *fleettest.VM) {
+			f.Kill(v)
+			time.AfterFunc(time.Second, func() { f.Start(v.ID) })
+		}},
 		{"VM vanished", func(f *fleet, v *fleettest.VM) { f.Vanish(v) }},
 		{"paused for a minute", func(f *fleet, v *fleettest.VM) {
 			v.Gate.Close()
@@ -49,6 +53,12 @@
 			time.Sleep(time.Minute)
 			f.Kill(v)
 		}},
+		{"killed and restarted after 1 s, store down 60 s before", func(f *fleet, v *fleettest.VM) {
+			f.Table.SetDown(true)
+			time.Sleep(time.Minute)
+			f.Kill(v)
+			time.AfterFunc(time.Second, func() { f.Start(v.ID) })
+		}},
 	}
 	fmt.Println("| fault | VMs | takeovers | median | p99 | max |")
 	fmt.Println("|---|---|---|---|---|---|")
