Evacuated failure domains: nothing is sent to their endpoints

The set goes by the position in the operator's table, which stewards now publish, so that removals are passed on and outdated sets are ignored. The dispatcher leaves evacuated endpoints out, and pkg/upstream checks again before each dial and each write, which covers requests, orders, polls and probes.

--- a/pkg/dispatch/candidates.go
+++ b/pkg/dispatch/candidates.go
@@ -15,7 +15,7 @@
 	var first time.Time
 	for _, e := range group {
 		until := s.get(e.Incarnation).blockedUntil(now)
-		if !e.Draining && !until.IsZero() && (first.IsZero() || until.Before(first)) {
+		if e.AcceptsRequests(now) && !until.IsZero() && (first.IsZero() || until.Before(first)) {
 			first = until
 		}
 	}
@@ -30,7 +30,7 @@
 	defer s.mu.Unlock()
 	available := make([]roster.Endpoint, 0, len(group))
 	for _, e := range group {
-		if !e.Draining && !slices.Contains(exclude, e.ID) && s.get(e.Incarnation).blockedUntil(now).IsZero() {
+		if e.AcceptsRequests(now) && !slices.Contains(exclude, e.ID) && s.get(e.Incarnation).blockedUntil(now).IsZero() {
 			available = append(available, e)
 		}
 	}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -163,7 +163,7 @@
 func (d *Dispatcher) noRoomError(req gateway.Request, until time.Time) error {
 	now := time.Now()
 	e := result.New(result.QueueFull, "the endpoints that are left have asked for a pause or are at the rate limits that they state")
-	e.RetryAfter = max(d.returns.schedule(req.Group.Name, until, d.returnInterval(d.group(req)), now).Sub(now), minRetryAfter)
+	e.RetryAfter = max(d.returns.schedule(req.Group.Name, until, d.returnInterval(d.group(req), now), now).Sub(now), minRetryAfter)
 	return e
 }
 
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -13,7 +13,7 @@
 	var first time.Time
 	for _, e := range group {
 		until := d.health.earliestPauseEnd([]roster.Endpoint{e}, now)
-		if blocked := d.cfg.Limits.BlockedUntil(e.Incarnation, now); !e.Draining && blocked.After(until) {
+		if blocked := d.cfg.Limits.BlockedUntil(e.Incarnation, now); e.AcceptsRequests(now) && blocked.After(until) {
 			until = blocked
 		}
 		if !until.IsZero() && (first.IsZero() || until.Before(first)) {
@@ -25,10 +25,10 @@
 
 // returnInterval returns the time between two requests of this VM for which a group has room if its endpoints are at
 // the limits that they state; 0 if none of them states a limit.
-func (d *Dispatcher) returnInterval(group []roster.Endpoint) time.Duration {
+func (d *Dispatcher) returnInterval(group []roster.Endpoint, now time.Time) time.Duration {
 	var ids []string
 	for _, e := range group {
-		if !e.Draining {
+		if e.AcceptsRequests(now) {
 			ids = append(ids, e.ID)
 		}
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -91,6 +91,11 @@
 		c.endPlacement(Outcome{Canceled: true})
 		return c.interrupted()
 	}
+	if errors.Is(err, upstream.ErrWithheld) {
+		c.logAttempt("withheld", err)
+		c.endPlacement(Outcome{Canceled: true})
+		return c.tryAnother(result.New(result.NoEndpoint, "no endpoint takes requests for the route"), false)
+	}
 	if failed != nil && !failed.Sent {
 		c.logAttempt("unreachable", err)
 		c.endPlacement(Outcome{Unreachable: true})
--- a/pkg/gatewayd/fleetview.go
+++ b/pkg/gatewayd/fleetview.go
@@ -13,6 +13,7 @@
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/bundle"
 	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/evacuation"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/residency"
@@ -34,6 +35,12 @@
 	// set before any component starts.
 	onEndpointRead func(roster.Endpoint)
 
+	// OnRestored is called with the endpoints of a failure domain whose evacuation has ended, before they get requests
+	// again. It is set before any component starts.
+	OnRestored func([]roster.Endpoint)
+	// evacuateWithin returns the time within which nothing more may reach an evacuated domain. It is set before any
+	// component starts.
+	evacuateWithin func() time.Duration
 	// replaceMu is held while the endpoint list is replaced.
 	replaceMu sync.Mutex
 
@@ -44,6 +51,9 @@
 	operatorRows map[string]versionedRow
 	// newestVersions are the newest versions of adapters that the operator has declared.
 	newestVersions map[residency.Key]int
+	// evacuations are the evacuated failure domains. evacuationChanges counts the changes of the set.
+	evacuations       evacuation.Set
+	evacuationChanges uint64
 	// leaving maps the endpoint incarnations that have announced in a response that they are about to terminate
 	// to the time of the announcement or of their last listing, whichever is later.
 	leaving map[roster.Incarnation]time.Time
@@ -65,32 +75,68 @@
 func newFleetView(p Platform, log logrus.FieldLogger) *fleetView {
 	return &fleetView{
 		platform: p, log: log, roster: roster.New(), onChange: func() {}, onEndpointRead: func(roster.Endpoint) {},
+		OnRestored: func([]roster.Endpoint) {}, evacuateWithin: Bounds{}.evacuateWithin,
 		operatorRows: map[string]versionedRow{}, newestVersions: map[residency.Key]int{}, leaving: map[roster.Incarnation]time.Time{}, malformed: map[string][]byte{},
 	}
 }
 
-// applyOperatorRows applies the operator's rows. A configuration or an adapter version older than the known one
-// is ignored.
-func (v *fleetView) applyOperatorRows(rows map[string][]byte) {
+// applyOperatorRows applies the operator's rows as read at a position of their table; zero if the position is not known. A
+// configuration or an adapter version older than the known one is ignored. Evacuations are applied first: this VM sends no
+// requests before it has a configuration.
+func (v *fleetView) applyOperatorRows(rows map[string][]byte, position uint64) {
+	decoded := v.decodeOperatorRows(rows)
+	v.applyEvacuations(evacuationRows(rows, decoded), position)
+	for key, d := range decoded {
+		if d.EvacuatedDomain != "" {
+			continue
+		}
+		row := versionedRow{value: rows[key]}
+		if d.Config != nil {
+			row.version = d.Config.Version
+			v.applyConfig(d.Config)
+		}
+		if d.AdapterVersion != nil {
+			row.version = uint64(max(d.AdapterVersion.Version, 0))
+			v.applyAdapterVersion(*d.AdapterVersion)
+		}
+		v.keepOperatorRow(key, row)
+	}
+	v.onChange()
+}
+
+// decodeOperatorRows returns the decoded rows by key. Rows that cannot be decoded are logged, and kept for VMs that can.
+func (v *fleetView) decodeOperatorRows(rows map[string][]byte) map[string]OperatorRow {
+	decoded := make(map[string]OperatorRow, len(rows))
 	for key, value := range rows {
-		decoded, err := v.platform.DecodeOperator(key, value)
+		row, err := v.platform.DecodeOperator(key, value)
 		if err != nil {
 			v.keepOperatorRow(key, versionedRow{value: value})
 			v.logMalformed("operator_row_malformed", key, value, err)
 			continue
 		}
-		row := versionedRow{value: value}
-		if decoded.Config != nil {
-			row.version = decoded.Config.Version
-			v.applyConfig(decoded.Config)
-		}
-		if decoded.AdapterVersion != nil {
-			row.version = uint64(max(decoded.AdapterVersion.Version, 0))
-			v.applyAdapterVersion(*decoded.AdapterVersion)
+		decoded[key] = row
+	}
+	return decoded
+}
+
+// evacuationRows returns the rows that evacuate a failure domain.
+func evacuationRows(rows map[string][]byte, decoded map[string]OperatorRow) []evacuation.Row {
+	var list []evacuation.Row
+	for key, d := range decoded {
+		if d.EvacuatedDomain != "" {
+			list = append(list, evacuation.Row{Domain: d.EvacuatedDomain, Key: key, Value: rows[key]})
 		}
-		v.keepOperatorRow(key, row)
 	}
-	v.onChange()
+	return list
+}
+
+// addEvacuations applies only those of the operator's rows that evacuate a failure domain, and ends no evacuation: the rows may be
+// stale.
+func (v *fleetView) addEvacuations(rows map[string][]byte) {
+	if list := evacuationRows(rows, v.decodeOperatorRows(rows)); len(list) > 0 {
+		v.applyEvacuations(list, 0)
+		v.onChange()
+	}
 }
 
 // keepOperatorRow keeps a row of the operator unless a newer one is known.
@@ -102,16 +148,19 @@
 	}
 }
 
-// newestOperatorRows returns the newest rows of the operator, by key. They may be newer than those of the store if that has
-// returned from an older copy.
-func (v *fleetView) newestOperatorRows() map[string][]byte {
+// newestOperatorRows returns the newest rows of the operator, by key, and the position of their table to which the evacuations
+// among them correspond. The rows may be newer than those of the store if that has returned from an older copy.
+func (v *fleetView) newestOperatorRows() (rows map[string][]byte, position uint64) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	values := make(map[string][]byte, len(v.operatorRows))
+	rows = make(map[string][]byte, len(v.operatorRows))
 	for key, row := range v.operatorRows {
-		values[key] = row.value
+		rows[key] = row.value
+	}
+	for _, d := range v.evacuations.Domains() {
+		rows[d.Key] = d.Value
 	}
-	return values
+	return rows, v.evacuations.Position()
 }
 
 func (v *fleetView) applyConfig(config *bundle.Bundle) {
@@ -197,6 +246,7 @@
 // setEndpoints replaces the endpoint list. The caller holds v.replaceMu.
 func (v *fleetView) setEndpoints(old *roster.View, list []roster.Endpoint) {
 	v.markLeaving(list, time.Now())
+	v.markEvacuated(list)
 	view := roster.NewView(list)
 	v.logEndpointChanges(old, view)
 	v.roster.Set(view)
@@ -357,7 +407,7 @@
 }
 
 // listing returns whether the endpoint list contains this incarnation of an endpoint, a later one, or one that
-// is draining.
+// is draining or evacuated.
 func (v *fleetView) listing(e roster.Endpoint) suspect.Listing {
 	now, listed := v.roster.View().Endpoint(e.ID)
 	switch {
@@ -365,6 +415,8 @@
 		return suspect.Leaving
 	case now.Started > e.Started:
 		return suspect.Replaced
+	case now.Evacuated(time.Now()):
+		return suspect.Evacuated
 	}
 	return suspect.Current
 }
--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -41,10 +41,12 @@
 	NewProber func(client *upstream.Client, groups func(name string) (bundle.Group, bool)) suspect.Prober
 }
 
-// OperatorRow is the content of one row written by the operator. A field is nil if the row does not contain it.
+// OperatorRow is the content of one row written by the operator. A field is nil or empty if the row does not contain it.
 type OperatorRow struct {
 	Config         *bundle.Bundle
 	AdapterVersion *roster.Adapter
+	// EvacuatedDomain is the failure domain that is evacuated as long as the row exists; empty if the row contains none.
+	EvacuatedDomain string
 }
 
 // Connect returns clients of the platform's services at the addresses in the settings.
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -119,6 +119,7 @@
 // allSettings lists the settings that a reload compares.
 var allSettings = []setting{
 	reloadable("key_withdrawal", func(s *Settings) *time.Duration { return &s.Bounds.KeyWithdrawal }),
+	reloadable("evacuation", func(s *Settings) *time.Duration { return &s.Bounds.Evacuation }),
 	reloadable("grace", func(s *Settings) *time.Duration { return &s.Bounds.Grace }),
 	reloadable("memory", func(s *Settings) *int64 { return &s.Limits.MemoryBytes }),
 	restartOnly("vm", func(s *Settings) *string { return &s.VM }),
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -61,6 +61,9 @@
 	// MinOrderGap is the minimum time between orders of two different VMs to the same endpoint. It is also the
 	// duration of a lease.
 	MinOrderGap time.Duration
+	// Evacuation is the time after the write of the operator's row within which nothing more may reach an evacuated failure
+	// domain; zero for the default.
+	Evacuation time.Duration
 	Retry       RetryBounds
 	Quota       QuotaBounds
 }
--- a/pkg/gatewayd/storereader.go
+++ b/pkg/gatewayd/storereader.go
@@ -42,8 +42,14 @@
 	staleness           *stalenessGuard
 
 	mu sync.Mutex
-	// unpublished are the operator's rows as last read until they are published, guarded by mu.
-	unpublished map[string][]byte
+	// unpublished are the operator's rows as last read until they are published, and unpublishedPosition the position of
+	// their table; both are guarded by mu.
+	unpublished         map[string][]byte
+	unpublishedPosition uint64
+	// published says that the operator's rows were published, and publishedEvacuations to which change of the evacuated
+	// domains they correspond; both are guarded by mu.
+	published            bool
+	publishedEvacuations uint64
 	// endpointRows are the rows of the endpoint list, guarded by mu.
 	endpointRows map[string]platform.Row
 	// endpointsPosition is the position in the table's history that endpointRows correspond to, guarded by mu.
@@ -116,22 +122,38 @@
 	}
 	r.staleness.enter(platform.GenerationOf(position), time.Now())
 	r.mu.Lock()
-	r.unpublished = values
+	r.unpublished, r.unpublishedPosition = values, position
 	r.mu.Unlock()
+	if r.staleness.possiblyStale(time.Now()) {
+		r.view.addEvacuations(values)
+	}
 	r.publishOperatorRows()
 }
 
 // publishOperatorRows publishes the operator's rows as last read, and applies them to this VM's own view, unless that has been
-// done or they may be stale.
+// done or they may be stale. It publishes them again if an evacuation has begun or ended otherwise.
 func (r *storeReader) publishOperatorRows() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unpublished == nil || r.staleness.possiblyStale(time.Now()) {
+	if r.staleness.possiblyStale(time.Now()) {
 		return
 	}
-	r.view.applyOperatorRows(r.unpublished)
-	r.unpublished = nil
-	r.updateLog.Replace(relay.Operator, r.view.newestOperatorRows())
+	if r.unpublished != nil {
+		r.view.applyOperatorRows(r.unpublished, r.unpublishedPosition)
+		r.unpublished, r.published = nil, true
+	} else if !r.published || r.publishedEvacuations == r.view.evacuationChangeCount() {
+		return
+	}
+	r.publishedEvacuations = r.view.evacuationChangeCount()
+	rows, position := r.view.newestOperatorRows()
+	r.updateLog.Replace(relay.Operator, rows)
+	r.publishPosition(relay.Operator, position)
+}
+
+// publishPosition publishes the position of the table from which the entries of a topic were read, after the entries: a VM that
+// receives them without the position takes them for older than they are, never for newer.
+func (r *storeReader) publishPosition(topic relay.Topic, position uint64) {
+	r.updateLog.Put(relay.Positions, string(topic), []byte(strconv.FormatUint(position, 10)))
 }
 
 func (r *storeReader) onEndpointRows(rows map[string]platform.Row, position uint64) {
@@ -177,9 +199,7 @@
 		values[list[i].ID] = data
 	}
 	r.updateLog.Replace(relay.Endpoints, values)
-	// The position is published after the list. A VM that receives the list without the position takes it for
-	// older than it is, never for newer.
-	r.updateLog.Replace(relay.Positions, map[string][]byte{string(relay.Endpoints): []byte(strconv.FormatUint(r.endpointsPosition, 10))})
+	r.publishPosition(relay.Endpoints, r.endpointsPosition)
 	r.view.applyEndpoints(list, r.endpointsPosition, r.endpoints.Confirmed())
 }
 
--- a/pkg/gatewayd/updates.go
+++ b/pkg/gatewayd/updates.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// entries are the current entries by topic and key, guarded by mu.
 	entries map[relay.Topic]map[string][]byte
+	// operatorPosition is the position of the operator's rows that were applied last, guarded by mu.
+	operatorPosition uint64
 }
 
 func newUpdateApplier(view *fleetView, s *stewardSet, log logrus.FieldLogger) *updateApplier {
@@ -32,8 +34,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	changed := a.storeEntries(entries, full)
-	if changed[relay.Operator] {
-		a.view.applyOperatorRows(a.entries[relay.Operator])
+	if position := a.position(relay.Operator); changed[relay.Operator] || position != a.operatorPosition {
+		a.operatorPosition = position
+		a.view.applyOperatorRows(a.entries[relay.Operator], position)
 	}
 	if changed[relay.Endpoints] || changed[relay.Positions] {
 		a.applyEndpoints(endpoints)
@@ -70,13 +73,20 @@
 	return changed
 }
 
-// applyEndpoints applies the endpoint list, which was current at the time confirmed. The caller holds a.mu.
-func (a *updateApplier) applyEndpoints(confirmed time.Time) {
+// position returns the position of the table from which the entries of a topic were read; zero if it is not known. VMs of earlier
+// builds do not state that of the operator's rows. The caller holds a.mu.
+func (a *updateApplier) position(topic relay.Topic) uint64 {
 	var position uint64
-	key := string(relay.Endpoints)
+	key := string(topic)
 	if data, known := a.entries[relay.Positions][key]; known && !a.decode(relay.Positions, key, data, &position) {
-		return
+		return 0
 	}
+	return position
+}
+
+// applyEndpoints applies the endpoint list, which was current at the time confirmed. The caller holds a.mu.
+func (a *updateApplier) applyEndpoints(confirmed time.Time) {
+	position := a.position(relay.Endpoints)
 	var list []roster.Endpoint
 	for key, data := range a.entries[relay.Endpoints] {
 		var e roster.Endpoint
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -137,7 +137,16 @@
 	pools := upstream.NewPools()
 	dials := metrics.GetOrRegisterCounter(metricDials, registry)
 	leaving := metrics.GetOrRegisterCounter(metricLeaving, registry)
+	withheld := metrics.GetOrRegisterCounter(metricEvacuatedWithheld, registry)
+	metrics.NewRegisteredFunctionalGauge(metricEvacuatedDomains, registry, func() int64 { return int64(len(view.evacuatedDomains())) })
 	return outbound{pools: pools, client: upstream.NewClient(pools, p.Dialect, upstream.Events{
+		Check: func(target upstream.Target) error {
+			err := view.mayReach(target)
+			if err != nil {
+				withheld.Inc(1)
+			}
+			return err
+		},
 		OnDial: func() { dials.Inc(1) },
 		OnLeaving: func(target upstream.Target) {
 			if view.recordLeaving(roster.Incarnation{ID: target.ID, Started: target.Started}) {
@@ -460,7 +469,8 @@
 // connectComponents sets the callbacks that cannot be passed to constructors, because the components depend on
 // each other: gained and lost leases are forwarded to every component that acts under leases, changes of the
 // fleet view to the orders and the leases, and changes of the membership to the leases.
-func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, p *process) {
+func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, l *liveSettings, p *process) {
+	view.evacuateWithin = func() time.Duration { return l.bounds().evacuateWithin() }
 	view.onEndpointRead = d.RecordLoaded
 	coord.leaseListeners.listeners = []lease.Listener{o, a.home}
 	coord.leaseListeners.note = a.home.Note
--- a/pkg/relay/update_log.go
+++ b/pkg/relay/update_log.go
@@ -72,6 +72,11 @@
 func (l *UpdateLog) Put(topic Topic, key string, value []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.put(topic, key, value)
+}
+
+// put sets an entry. l.mu is held.
+func (l *UpdateLog) put(topic Topic, key string, value []byte) {
 	k := entryKey{topic, key}
 	if old, ok := l.entries[k]; ok && !old.removed && bytes.Equal(old.value, value) {
 		return
@@ -83,28 +88,34 @@
 func (l *UpdateLog) Remove(topic Topic, key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.remove(topic, key)
+}
+
+// remove marks an entry as removed. l.mu is held.
+func (l *UpdateLog) remove(topic Topic, key string) {
 	k := entryKey{topic, key}
 	if old, ok := l.entries[k]; ok && !old.removed {
 		l.set(k, entryState{removed: true})
 	}
 }
 
-// Replace sets the entries of a topic to values and removes all others of the topic.
+// Replace sets the entries of a topic to values and removes all others of the topic. A call of Since returns all of these changes
+// or none: a VM must not get the configuration without the evacuations that are in force.
 func (l *UpdateLog) Replace(topic Topic, values map[string][]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for key, value := range values {
-		l.Put(topic, key, value)
+		l.put(topic, key, value)
 	}
 	for _, key := range l.keys(topic) {
 		if _, ok := values[key]; !ok {
-			l.Remove(topic, key)
+			l.remove(topic, key)
 		}
 	}
 }
 
-// keys returns the keys of the entries of a topic that are not removed.
+// keys returns the keys of the entries of a topic that are not removed. l.mu is held.
 func (l *UpdateLog) keys(topic Topic) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	var keys []string
 	for k, e := range l.entries {
 		if k.topic == topic && !e.removed {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -33,8 +33,23 @@
 	Kept bool
 	// GoneAt is the time when an endpoint that leaves at short notice will terminate; zero if not known.
 	GoneAt time.Time
+	// EvacuatedFrom is the time from which nothing may be sent to the endpoint because its failure domain is evacuated;
+	// zero if it is not. Each VM sets it for itself.
+	EvacuatedFrom time.Time `json:"-"`
 }
 
+// Evacuating reports whether the failure domain of the endpoint is evacuated. Work is moved elsewhere, and nothing may be sent
+// to the endpoint from EvacuatedFrom on.
+func (e Endpoint) Evacuating() bool { return !e.EvacuatedFrom.IsZero() }
+
+// Evacuated reports whether nothing may be sent to the endpoint now because its failure domain is evacuated.
+func (e Endpoint) Evacuated(now time.Time) bool {
+	return e.Evacuating() && !now.Before(e.EvacuatedFrom)
+}
+
+// AcceptsRequests reports whether new requests may be sent to the endpoint now.
+func (e Endpoint) AcceptsRequests(now time.Time) bool { return !e.Draining && !e.Evacuated(now) }
+
 // Adapter is one version of an adapter.
 type Adapter struct {
 	Model   string
--- a/pkg/suspect/detector.go
+++ b/pkg/suspect/detector.go
@@ -40,6 +40,8 @@
 	Leaving
 	// Replaced says that a later incarnation of the endpoint is listed: this one has terminated.
 	Replaced
+	// Evacuated says that nothing may be sent to the endpoint, so that it cannot be probed.
+	Evacuated
 )
 
 // Prober finds out whether endpoints are alive.
@@ -226,7 +228,7 @@
 // ConnectionLost records that the connection of a request, sent at the given time, was lost on the endpoint's side before the response
 // was complete. running is how long the endpoint had been responding to the request.
 func (d *Detector) ConnectionLost(e roster.Endpoint, account string, fingerprint uint64, sent time.Time, running time.Duration) {
-	if running >= minSafeRunTime || d.cfg.Listed(e) == Leaving {
+	if running >= minSafeRunTime || !d.checkable(e) {
 		return
 	}
 	if d.served.contains(fingerprint, time.Now()) {
@@ -238,7 +240,7 @@
 // PartsLost records that the connection of a request, sent at the given time, was lost on the endpoint's side before the endpoint
 // had sent a part of its answer. parts are those of the request's prompt that other requests may share.
 func (d *Detector) PartsLost(e roster.Endpoint, account string, parts []string, sent time.Time) {
-	if len(parts) == 0 || d.cfg.Listed(e) == Leaving {
+	if len(parts) == 0 || !d.checkable(e) {
 		return
 	}
 	list := make([]affected, len(parts))
@@ -248,6 +250,12 @@
 	d.recordLoss(e, account, sent, list...)
 }
 
+// checkable reports whether a lost connection may mean that the endpoint has crashed, and a probe can tell.
+func (d *Detector) checkable(e roster.Endpoint) bool {
+	listed := d.cfg.Listed(e)
+	return listed != Leaving && listed != Evacuated
+}
+
 // recordLoss records the possible crash of an endpoint for what a lost connection carried, and finds out whether the endpoint
 // has crashed.
 func (d *Detector) recordLoss(e roster.Endpoint, account string, sent time.Time, lost ...affected) {
--- a/pkg/suspect/liveness_check.go
+++ b/pkg/suspect/liveness_check.go
@@ -60,6 +60,10 @@
 		if d.finishIfNoneAffected(c, "answered others") {
 			return
 		}
+		if d.cfg.Listed(c.endpoint) == Evacuated {
+			d.abandonCheck(c)
+			return
+		}
 		probedAt := time.Now()
 		liveness := d.probe(c.endpoint)
 		switch {
@@ -119,6 +123,19 @@
 	return true
 }
 
+// abandonCheck ends a check without a result, and retracts the crash: the endpoint must not be probed any more, and requests must
+// not be held responsible for that.
+func (d *Detector) abandonCheck(c *livenessCheck) {
+	d.mu.Lock()
+	fields := d.logFields(c, "endpoint_check_ended", "evacuated")
+	for a := range c.affected {
+		d.retract(a, crashID(c.endpoint))
+	}
+	d.closeCheck(c)
+	d.mu.Unlock()
+	d.cfg.Log.WithFields(fields).Info("failure domain of the endpoint is evacuated; lost connections are not counted as a crash")
+}
+
 // confirmCrash ends a check with the result that the endpoint has crashed. The crash is not held against requests that were
 // sent after another VM had already seen it: they only met an address that still accepted connections.
 func (d *Detector) confirmCrash(c *livenessCheck, why string) {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -68,8 +68,14 @@
 	events  Events
 }
 
+// ErrWithheld says that nothing may be sent to the endpoint now.
+var ErrWithheld = errors.New("endpoint must not be reached")
+
 // Events holds callbacks for events while a request is sent. Each may be nil.
 type Events struct {
+	// Check is called before a connection is opened and again immediately before a request is written. An error keeps the
+	// request from being sent.
+	Check func(Target) error
 	// OnDial is called for each new connection.
 	OnDial func()
 	// OnLeaving is called when an endpoint has said in a response that it is about to terminate.
@@ -87,6 +93,9 @@
 // Send sends the request and returns once the head of its response has arrived. When ctx ends, the
 // connection is closed. The error is an *Error. The calling code must close the response.
 func (c *Client) Send(ctx context.Context, target Target, req Request) (*Response, error) {
+	if err := c.check(target); err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	cn := c.pools.take(target, now)
 	if cn == nil {
@@ -97,10 +106,25 @@
 		if c.events.OnDial != nil {
 			c.events.OnDial()
 		}
+		if err := c.check(target); err != nil {
+			_ = cn.Close()
+			return nil, err
+		}
 	}
 	return c.exchange(ctx, target, cn, req)
 }
 
+// check returns an *Error if the request must not be sent.
+func (c *Client) check(target Target) error {
+	if c.events.Check == nil {
+		return nil
+	}
+	if err := c.events.Check(target); err != nil {
+		return &Error{Err: err}
+	}
+	return nil
+}
+
 // exchange sends the request over the connection and reads the head of its response.
 func (c *Client) exchange(ctx context.Context, target Target, cn *conn, req Request) (*Response, error) {
 	a := &Response{client: c, target: target, conn: cn, sent: time.Now()}
