Evacuation: tests over several VMs, and rows that one VM keeps after a return of the store

A VM that switched to a steward that had never seen the row dropped it: stewards now say which rows they only keep (topic kept). The time to move work was counted from the first read on a VM that had just started: Follower.Delivered states what the rows that were passed on correspond to, and a first set gives no time. A position of the operator's rows made VMs apply an empty endpoint list.

--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -39,11 +39,23 @@
 	keptUntil time.Time
 }
 
+// Kept reports whether the domain stays evacuated although its row is missing in this generation of the store.
+func (d Domain) Kept() bool { return !d.keptUntil.IsZero() }
+
+// keep makes the evacuation end after missingRetention, unless it already has an end.
+func (d *Domain) keep(now time.Time) {
+	if !d.Kept() {
+		d.keptUntil = now.Add(missingRetention)
+	}
+}
+
 // Row is one of the operator's rows that evacuate a domain.
 type Row struct {
 	Domain string
 	Key    string
 	Value  []byte
+	// Kept says that the VM that read the set keeps the row although it is missing in this generation of the store.
+	Kept bool
 }
 
 // Update is a set of the operator's rows as read from the store.
@@ -99,21 +111,25 @@
 	}
 	var c Change
 	present := map[string]bool{}
+	newGeneration := s.position == 0 || platform.GenerationOf(u.Position) > platform.GenerationOf(s.position)
 	for _, row := range u.Rows {
 		present[row.Domain] = true
 		known, ok := s.domains[row.Domain]
 		if !ok {
-			known = Domain{Name: row.Domain, Since: u.Now, From: u.from(), Position: u.Position}
+			known = Domain{Name: row.Domain, Since: u.Now, From: s.from(u), Position: u.Position}
 			c.Emptied = append(c.Emptied, known)
 		}
-		if u.Position != 0 {
+		switch {
+		case row.Kept && (!ok || newGeneration):
+			known.keep(u.Now)
+		case !row.Kept && u.Position != 0:
 			known.keptUntil = time.Time{}
 		}
 		known.Key, known.Value = row.Key, row.Value
 		s.set(known)
 	}
 	if u.Position != 0 {
-		c.Restored = s.removeMissing(u, present)
+		c.Restored = s.removeMissing(u, present, newGeneration)
 		s.position = u.Position
 	}
 	sortDomains(c.Emptied)
@@ -122,14 +138,13 @@
 }
 
 // removeMissing removes the domains whose rows are missing in the update, and returns them.
-func (s *Set) removeMissing(u Update, present map[string]bool) []Domain {
-	newGeneration := s.position == 0 || platform.GenerationOf(u.Position) > platform.GenerationOf(s.position)
+func (s *Set) removeMissing(u Update, present map[string]bool, newGeneration bool) []Domain {
 	var removed []Domain
 	for name, d := range s.domains {
 		switch {
-		case present[name] || !d.keptUntil.IsZero():
+		case present[name] || d.Kept():
 		case newGeneration:
-			d.keptUntil = u.Now.Add(missingRetention)
+			d.keep(u.Now)
 			s.set(d)
 		default:
 			delete(s.domains, name)
@@ -149,7 +164,7 @@
 func (s *Set) expire(now time.Time) []Domain {
 	var removed []Domain
 	for name, d := range s.domains {
-		if !d.keptUntil.IsZero() && !now.Before(d.keptUntil) {
+		if d.Kept() && !now.Before(d.keptUntil) {
 			delete(s.domains, name)
 			removed = append(removed, d)
 		}
@@ -161,7 +176,7 @@
 func (s *Set) NextExpiry() time.Time {
 	var next time.Time
 	for _, d := range s.domains {
-		if !d.keptUntil.IsZero() && (next.IsZero() || d.keptUntil.Before(next)) {
+		if d.Kept() && (next.IsZero() || d.keptUntil.Before(next)) {
 			next = d.keptUntil
 		}
 	}
@@ -176,9 +191,9 @@
 }
 
 // from returns the time from which nothing may be sent to a domain whose row is new in the update. The row may be as old as
-// u.Current: a VM that has just started, or was out of contact, has no time left to move work.
-func (u Update) from() time.Time {
-	if u.Current.IsZero() {
+// u.Current: a VM that has just started, or was out of contact, may have no time left to move work.
+func (s *Set) from(u Update) time.Time {
+	if s.position == 0 || u.Current.IsZero() {
 		return u.Now
 	}
 	from := u.Now.Add(share(u.Within, moveShare))
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -55,7 +55,9 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 
-	confirmed   time.Time
+	confirmed time.Time
+	// delivered is the value of confirmed when OnChange last returned, or a later one if nothing has changed since.
+	delivered   time.Time
 	downSince   time.Time
 	up          bool
 	recoveredAt time.Time
@@ -74,6 +76,14 @@
 	return f.confirmed
 }
 
+// Delivered returns the time at which the rows that were passed to OnChange are last known to have been current, or zero before
+// the first response.
+func (f *Follower) Delivered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.delivered
+}
+
 // RecoveredAt returns when the table last began to respond again after an outage, or zero if there was no
 // outage.
 func (f *Follower) RecoveredAt() time.Time {
@@ -114,6 +124,7 @@
 		f.position, f.hasPosition = position, true
 		f.markUp(sent)
 		f.cfg.OnChange(f.rows, f.position)
+		f.markDelivered()
 		return nil
 	}
 	wait := f.cfg.Wait
@@ -131,9 +142,17 @@
 	if len(changes) > 0 {
 		f.cfg.OnChange(f.rows, f.position)
 	}
+	f.markDelivered()
 	return nil
 }
 
+// markDelivered records that OnChange has got all changes up to the last response.
+func (f *Follower) markDelivered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delivered = f.confirmed
+}
+
 // confirmedUntil returns the time at which a call's response confirms the copy as current. That is when the call was
 // sent. For a response without changes that took at least the requested wait, it is the end of that wait.
 func confirmedUntil(sent, now time.Time, wait time.Duration, changes int) time.Time {
--- a/pkg/gatewayd/fleetview.go
+++ b/pkg/gatewayd/fleetview.go
@@ -80,12 +80,13 @@
 	}
 }
 
-// applyOperatorRows applies the operator's rows as read at a position of their table; zero if the position is not known. A
+// applyOperatorRows applies the operator's rows as read at a position of their table; zero if the position is not known. kept
+// are the keys of rows that are missing in the store and kept by the VM that read it. A
 // configuration or an adapter version older than the known one is ignored. Evacuations are applied first: this VM sends no
 // requests before it has a configuration.
-func (v *fleetView) applyOperatorRows(rows map[string][]byte, position uint64) {
+func (v *fleetView) applyOperatorRows(rows map[string][]byte, position uint64, kept map[string]bool) {
 	decoded := v.decodeOperatorRows(rows)
-	v.applyEvacuations(evacuationRows(rows, decoded), position)
+	v.applyEvacuations(evacuationRows(rows, decoded, kept), position)
 	for key, d := range decoded {
 		if d.EvacuatedDomain != "" {
 			continue
@@ -120,11 +121,11 @@
 }
 
 // evacuationRows returns the rows that evacuate a failure domain.
-func evacuationRows(rows map[string][]byte, decoded map[string]OperatorRow) []evacuation.Row {
+func evacuationRows(rows map[string][]byte, decoded map[string]OperatorRow, kept map[string]bool) []evacuation.Row {
 	var list []evacuation.Row
 	for key, d := range decoded {
 		if d.EvacuatedDomain != "" {
-			list = append(list, evacuation.Row{Domain: d.EvacuatedDomain, Key: key, Value: rows[key]})
+			list = append(list, evacuation.Row{Domain: d.EvacuatedDomain, Key: key, Value: rows[key], Kept: kept[key]})
 		}
 	}
 	return list
@@ -133,7 +134,7 @@
 // addEvacuations applies only those of the operator's rows that evacuate a failure domain, and ends no evacuation: the rows may be
 // stale.
 func (v *fleetView) addEvacuations(rows map[string][]byte) {
-	if list := evacuationRows(rows, v.decodeOperatorRows(rows)); len(list) > 0 {
+	if list := evacuationRows(rows, v.decodeOperatorRows(rows), nil); len(list) > 0 {
 		v.applyEvacuations(list, 0)
 		v.onChange()
 	}
@@ -148,9 +149,9 @@
 	}
 }
 
-// newestOperatorRows returns the newest rows of the operator, by key, and the position of their table to which the evacuations
-// among them correspond. The rows may be newer than those of the store if that has returned from an older copy.
-func (v *fleetView) newestOperatorRows() (rows map[string][]byte, position uint64) {
+// newestOperatorRows returns the newest rows of the operator, by key, the position of their table to which the evacuations
+// among them correspond, and the keys of those that are kept although they are missing in the store. The rows may be newer than those of the store if that has returned from an older copy.
+func (v *fleetView) newestOperatorRows() (rows map[string][]byte, position uint64, kept []string) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	rows = make(map[string][]byte, len(v.operatorRows))
@@ -159,8 +160,11 @@
 	}
 	for _, d := range v.evacuations.Domains() {
 		rows[d.Key] = d.Value
+		if d.Kept() {
+			kept = append(kept, d.Key)
+		}
 	}
-	return rows, v.evacuations.Position()
+	return rows, v.evacuations.Position(), kept
 }
 
 func (v *fleetView) applyConfig(config *bundle.Bundle) {
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -64,8 +64,8 @@
 	// Evacuation is the time after the write of the operator's row within which nothing more may reach an evacuated failure
 	// domain; zero for the default.
 	Evacuation time.Duration
-	Retry       RetryBounds
-	Quota       QuotaBounds
+	Retry      RetryBounds
+	Quota      QuotaBounds
 }
 
 // RetryBounds limit the retries that all VMs together may make to an endpoint group within Window: to Share of
--- a/pkg/gatewayd/storereader.go
+++ b/pkg/gatewayd/storereader.go
@@ -99,7 +99,7 @@
 	if r.staleness.possiblyStale(time.Now()) {
 		return time.Time{}
 	}
-	return r.operator.Confirmed()
+	return r.operator.Delivered()
 }
 
 // confirmInterval is the interval at which the times of the store's last responses are copied to the fleet
@@ -139,13 +139,18 @@
 		return
 	}
 	if r.unpublished != nil {
-		r.view.applyOperatorRows(r.unpublished, r.unpublishedPosition)
+		r.view.applyOperatorRows(r.unpublished, r.unpublishedPosition, nil)
 		r.unpublished, r.published = nil, true
 	} else if !r.published || r.publishedEvacuations == r.view.evacuationChangeCount() {
 		return
 	}
 	r.publishedEvacuations = r.view.evacuationChangeCount()
-	rows, position := r.view.newestOperatorRows()
+	rows, position, kept := r.view.newestOperatorRows()
+	keptEntries := make(map[string][]byte, len(kept))
+	for _, key := range kept {
+		keptEntries[key] = nil
+	}
+	r.updateLog.Replace(relay.Kept, keptEntries)
 	r.updateLog.Replace(relay.Operator, rows)
 	r.publishPosition(relay.Operator, position)
 }
--- a/pkg/gatewayd/updates.go
+++ b/pkg/gatewayd/updates.go
@@ -21,12 +21,12 @@
 	mu sync.Mutex
 	// entries are the current entries by topic and key, guarded by mu.
 	entries map[relay.Topic]map[string][]byte
-	// operatorPosition is the position of the operator's rows that were applied last, guarded by mu.
-	operatorPosition uint64
+	// positions are the positions of the tables, by topic, whose entries were applied last, guarded by mu.
+	positions map[relay.Topic]uint64
 }
 
 func newUpdateApplier(view *fleetView, s *stewardSet, log logrus.FieldLogger) *updateApplier {
-	return &updateApplier{view: view, stewards: s, log: log, entries: map[relay.Topic]map[string][]byte{}}
+	return &updateApplier{view: view, stewards: s, log: log, entries: map[relay.Topic]map[string][]byte{}, positions: map[relay.Topic]uint64{}}
 }
 
 // apply implements relay.Config.Apply.
@@ -34,12 +34,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	changed := a.storeEntries(entries, full)
-	if position := a.position(relay.Operator); changed[relay.Operator] || position != a.operatorPosition {
-		a.operatorPosition = position
-		a.view.applyOperatorRows(a.entries[relay.Operator], position)
+	if position, moved := a.position(relay.Operator); changed[relay.Operator] || changed[relay.Kept] || moved {
+		a.view.applyOperatorRows(a.entries[relay.Operator], position, a.keptRows())
 	}
-	if changed[relay.Endpoints] || changed[relay.Positions] {
-		a.applyEndpoints(endpoints)
+	if position, moved := a.position(relay.Endpoints); changed[relay.Endpoints] || moved {
+		a.applyEndpoints(position, endpoints)
 	}
 	if changed[relay.Leases] || changed[relay.Stewards] {
 		a.applyDirectory()
@@ -73,20 +72,30 @@
 	return changed
 }
 
-// position returns the position of the table from which the entries of a topic were read; zero if it is not known. VMs of earlier
-// builds do not state that of the operator's rows. The caller holds a.mu.
-func (a *updateApplier) position(topic relay.Topic) uint64 {
-	var position uint64
+// position returns the position of the table from which the entries of a topic were read, zero if it is not known, and whether it
+// has changed since the last call. VMs of earlier builds do not state that of the operator's rows. The caller holds a.mu.
+func (a *updateApplier) position(topic relay.Topic) (position uint64, moved bool) {
 	key := string(topic)
 	if data, known := a.entries[relay.Positions][key]; known && !a.decode(relay.Positions, key, data, &position) {
-		return 0
+		position = 0
 	}
-	return position
+	moved = position != a.positions[topic]
+	a.positions[topic] = position
+	return position, moved
 }
 
-// applyEndpoints applies the endpoint list, which was current at the time confirmed. The caller holds a.mu.
-func (a *updateApplier) applyEndpoints(confirmed time.Time) {
-	position := a.position(relay.Endpoints)
+// keptRows returns the keys of the operator's rows that the VM that sent them keeps although they are missing in the store. The
+// caller holds a.mu.
+func (a *updateApplier) keptRows() map[string]bool {
+	kept := map[string]bool{}
+	for key := range a.entries[relay.Kept] {
+		kept[key] = true
+	}
+	return kept
+}
+
+// applyEndpoints applies the endpoint list, as read at a position of its table, which was current at the time confirmed. The caller holds a.mu.
+func (a *updateApplier) applyEndpoints(position uint64, confirmed time.Time) {
 	var list []roster.Endpoint
 	for key, data := range a.entries[relay.Endpoints] {
 		var e roster.Endpoint
--- a/pkg/relay/update_log.go
+++ b/pkg/relay/update_log.go
@@ -18,6 +18,9 @@
 const (
 	// Operator holds the operator's rows, unchanged.
 	Operator Topic = "operator"
+	// Kept holds the keys of the entries of Operator that are missing in the store and kept for a while, because the store
+	// has returned from an older copy. VMs of earlier builds do not know the topic.
+	Kept Topic = "kept"
 	// Endpoints holds the endpoints on the platform's list.
 	Endpoints Topic = "endpoints"
 	// Positions holds, by topic, the position in the platform's table at which the entries of that topic were read.
