Evacuation: the owner sends no orders or polls to evacuated engines

Owners went on to plan loads and polls for evacuated engines, whose calls were only withheld at the connection. The worker now stops planning as soon as the domain is evacuated, sends waiting requests away, grants permits for held adapters until the time to move work is over, and reads a report before the first order after the domain was restored.

--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -167,7 +167,10 @@
 			w.cancel()
 			delete(s.workers, id)
 			s.retire(id, w)
+			continue
 		}
+		// The failure domain of the engine may be evacuated or restored.
+		w.signal()
 	}
 	for _, e := range view.All() {
 		name := LeaseOf(e.ID)
@@ -293,6 +296,8 @@
 	Lease    string `json:"lease"`
 	Ready    bool   `json:"ready"`
 	Down     bool   `json:"down"`
+	// Evacuated says that the engine gets no orders because its failure domain is evacuated.
+	Evacuated bool `json:"evacuated"`
 	// Held, InUse, Loading and Wanted count adapters: those held by the engine, those in use by requests,
 	// those being loaded, and those that requests are waiting for.
 	Held    int `json:"held"`
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -67,6 +67,8 @@
 	// attempt, or zero while the engine can be reached.
 	backoff   time.Duration
 	downUntil time.Time
+	// evacuating says that the engine gets no orders and no polls because its failure domain is evacuated.
+	evacuating bool
 }
 
 // waiter is a request that waits for an adapter.
@@ -113,6 +115,7 @@
 		w.mu.Lock()
 		w.logState(now)
 		w.expirePermits(now)
+		w.followEvacuation(now)
 		action, ok, due := w.nextAction(now)
 		w.mu.Unlock()
 		if ok {
@@ -123,9 +126,38 @@
 	}
 }
 
+// evacuatedFrom returns the time from which nothing may be sent to the engine because its failure domain is evacuated, and whether
+// it is.
+func (w *worker) evacuatedFrom() (time.Time, bool) {
+	e, listed := w.service.cfg.Roster.View().Endpoint(w.endpoint.ID)
+	return e.EvacuatedFrom, listed && e.Evacuating()
+}
+
+// followEvacuation ends the orders to the engine when its failure domain is evacuated. Requests that wait for an adapter are sent
+// away, since it is not loaded here any more. When the domain is restored, a report is read before the next order. w.mu must be
+// held.
+func (w *worker) followEvacuation(now time.Time) {
+	_, evacuating := w.evacuatedFrom()
+	if evacuating == w.evacuating {
+		return
+	}
+	w.evacuating = evacuating
+	if evacuating {
+		w.rejectWaiters()
+	} else {
+		w.planner.RequireReport(now)
+	}
+	w.service.cfg.Log.WithFields(logrus.Fields{
+		"event": "engine_evacuation", "endpoint": w.endpoint.ID, "evacuated": evacuating, "requests": w.load.running,
+	}).Info("orders to the engine ended or began again with the evacuation of its failure domain")
+}
+
 // nextAction returns the call to make now, or the time at which to check again. While the engine cannot be
 // reached, no request waits for it, so reading its report is used as the probe. w.mu must be held.
 func (w *worker) nextAction(now time.Time) (residency.Action, bool, time.Time) {
+	if w.evacuating {
+		return residency.Action{}, false, time.Time{}
+	}
 	if !w.downUntil.IsZero() {
 		return residency.Action{Kind: residency.Report}, !now.Before(w.downUntil), w.downUntil
 	}
@@ -161,7 +193,7 @@
 	sum := w.planner.Summary()
 	return EngineState{
 		Endpoint: w.endpoint.ID, Started: w.endpoint.Started, Lease: w.lease,
-		Ready: w.planner.Ready(), Down: !w.downUntil.IsZero(),
+		Ready: w.planner.Ready(), Down: !w.downUntil.IsZero(), Evacuated: w.evacuating,
 		Held: sum.Held, InUse: sum.InUse, Loading: sum.Loading, Wanted: sum.Wanted,
 		LoadTime: sum.LoadTime.Round(time.Millisecond).String(), TokenTime: w.load.tokenTime.String(),
 		Requests: w.load.running, Unread: w.load.unread,
@@ -264,7 +296,7 @@
 	}
 }
 
-// rejectWaiters ends all waits because the engine cannot be reached. w.mu must be held.
+// rejectWaiters ends all waits because the engine cannot be reached or gets no orders any more. w.mu must be held.
 func (w *worker) rejectWaiters() {
 	for key, list := range w.waiters {
 		for _, wt := range list {
@@ -380,6 +412,10 @@
 		w.mu.Unlock()
 		return AcquireReply{Status: Down}
 	}
+	if from, evacuating := w.evacuatedFrom(); evacuating {
+		defer w.mu.Unlock()
+		return w.acquireEvacuating(args, key, from, start)
+	}
 	if args.Prefetch {
 		w.prefetch(key, start)
 		w.mu.Unlock()
@@ -403,6 +439,25 @@
 	return w.await(ctx, wt, key)
 }
 
+// noLoad is the expected wait for an adapter that is not going to be loaded.
+const noLoad = time.Hour
+
+// acquireEvacuating grants a permit on an engine in an evacuated failure domain only before the time from, and only if the adapter
+// is held: nothing is loaded there any more. w.mu must be held.
+func (w *worker) acquireEvacuating(args *AcquireArgs, key residency.Key, from, now time.Time) AcquireReply {
+	if !now.Before(from) {
+		return AcquireReply{Status: Down}
+	}
+	reply := AcquireReply{Status: Offered, Estimate: w.estimate(args), Own: w.load.idleEstimate(w.unread(args)), Delay: noLoad}
+	if args.Prefetch || reply.Estimate > args.Bound {
+		return reply
+	}
+	if granted, ok := w.grant(args, key, now); ok {
+		return granted
+	}
+	return reply
+}
+
 // await waits until the adapter is usable, for MaxWait at most.
 func (w *worker) await(ctx context.Context, wt *waiter, key residency.Key) AcquireReply {
 	timer := time.NewTimer(min(wt.args.Left, MaxWait))
