Evacuation: the dispatcher moves work before it cuts traffic off

A request whose adapter is held by no engine outside the evacuated domain went to a home that had to load it first. Until the time to move work is over, it now goes to an engine inside the domain that holds the adapter, while its next home loads the adapter, also if requests wait for other loads there. Requests that wait when a domain is evacuated are placed again instead of being refused, and the paths without an owner check once more before they place. The tests of pkg/dispatch, pkg/gatewayd and platform pass with -race.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -58,6 +58,8 @@
 	hotKeys   *hotKeys
 	reports   *reportCache
 	returns   returnSchedule
+	// withheld counts the requests that were kept from endpoints because their failure domain is evacuated.
+	withheld metrics.Counter
 }
 
 // New returns a Dispatcher.
@@ -68,6 +70,7 @@
 		locations: newAdapterLocations(),
 		hotKeys:   newHotKeys(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
+		withheld:  metrics.GetOrRegisterCounter(metricWithheld, cfg.Metrics),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
 }
@@ -106,6 +109,10 @@
 func (d *Dispatcher) Place(ctx context.Context, req gateway.Request) (gateway.Placement, error) {
 	for range maxPlaceTries {
 		placement, err := d.tryPlace(ctx, req)
+		if errors.Is(err, errEvacuated) {
+			d.withheld.Inc(1)
+			continue
+		}
 		if !errors.Is(err, errOverLimit) {
 			return placement, err
 		}
@@ -116,12 +123,17 @@
 // tryPlace returns a placement for the request, or errOverLimit if the chosen endpoint has no room.
 func (d *Dispatcher) tryPlace(ctx context.Context, req gateway.Request) (gateway.Placement, error) {
 	now := time.Now()
-	candidates := d.cfg.Limits.Unblocked(d.health.candidates(d.group(req), req.Exclude, now), now)
+	outside, leaving := splitEvacuating(d.group(req), now)
+	candidates := d.cfg.Limits.Unblocked(d.health.candidates(outside, req.Exclude, now), now)
 	if len(candidates) == 0 {
-		return gateway.Placement{}, d.noEndpointError(req)
+		if len(outside) == 0 && len(d.group(req)) > 0 {
+			d.withheld.Inc(1)
+		}
+		return gateway.Placement{}, d.noEndpointError(req, outside)
 	}
 	if req.Group.Engine != nil {
-		return d.placeOnEngine(ctx, req, candidates)
+		leaving = d.cfg.Limits.Unblocked(d.health.candidates(leaving, req.Exclude, now), now)
+		return d.placeOnEngine(ctx, req, candidates, leaving)
 	}
 	e, cost := d.health.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
 	limit := d.takeLimit(req, e)
@@ -150,10 +162,10 @@
 	return decision
 }
 
-// noEndpointError returns the error for a request that no endpoint of its group accepts now. If endpoints have asked
+// noEndpointError returns the error for a request that no endpoint of a group accepts now. If endpoints have asked
 // for a pause or have no room within their stated limits, it says when the first of them accepts requests again.
-func (d *Dispatcher) noEndpointError(req gateway.Request) error {
-	if until := d.earliestRoom(d.group(req), time.Now()); !until.IsZero() {
+func (d *Dispatcher) noEndpointError(req gateway.Request, group []roster.Endpoint) error {
+	if until := d.earliestRoom(group, time.Now()); !until.IsZero() {
 		return d.noRoomError(req, until)
 	}
 	return result.New(result.NoEndpoint, "no endpoint takes requests for the route")
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -93,8 +93,9 @@
 }
 
 // placeOnEngine asks the owners of the request's homes one after the other. If none grants a permit at
-// once, the request goes to the home with the shortest wait.
-func (d *Dispatcher) placeOnEngine(ctx context.Context, req gateway.Request, candidates []roster.Endpoint) (gateway.Placement, error) {
+// once, the request goes to the home with the shortest wait. leaving are engines in evacuated failure domains that may still get
+// requests whose adapters no other engine holds.
+func (d *Dispatcher) placeOnEngine(ctx context.Context, req gateway.Request, candidates, leaving []roster.Endpoint) (gateway.Placement, error) {
 	s := &search{d: d, req: req, objective: req.Route.Objective}
 	if s.objective == 0 {
 		s.objective = defaultObjective
@@ -106,6 +107,12 @@
 	key := homeKey(req)
 	ranked := rankHomes(key, candidates)
 	homeCount := d.hotKeys.homeCount(key, time.Now())
+	if len(leaving) > 0 && req.Terms.Adapter != "" {
+		if placement, ok := s.placeWhileMoving(ctx, chooseHomes(req, ranked, homeCount), rankHomes(key, leaving)); ok {
+			return placement, nil
+		}
+		s.overLimit, s.replies = false, nil
+	}
 	for {
 		if placement, ok := s.tryHomes(ctx, key, ranked, homeCount); ok {
 			return placement, nil
@@ -113,6 +120,9 @@
 		if s.overLimit {
 			return gateway.Placement{}, errOverLimit
 		}
+		if s.evacuatedMeanwhile(ranked) {
+			return gateway.Placement{}, errEvacuated
+		}
 		if len(s.offers) > 0 {
 			return gateway.Placement{}, s.queueFullError()
 		}
@@ -342,12 +352,16 @@
 // acceptsRequests reports whether the endpoint still accepts new requests.
 func (d *Dispatcher) acceptsRequests(e roster.Endpoint) bool {
 	current, ok := d.cfg.Roster.View().Endpoint(e.ID)
-	return ok && current.Incarnation == e.Incarnation && !current.Draining && d.health.earliestPauseEnd([]roster.Endpoint{current}, time.Now()).IsZero()
+	now := time.Now()
+	return ok && current.Incarnation == e.Incarnation && current.AcceptsRequests(now) && d.health.earliestPauseEnd([]roster.Endpoint{current}, now).IsZero()
 }
 
 // placeAtKnownLocation returns a placement without a permit at an engine whose owner cannot be reached, if
 // recent requests found the adapter there. Without an owner nothing evicts adapters from the engine.
 func (s *search) placeAtKnownLocation(e roster.Endpoint) (gateway.Placement, bool) {
+	if !s.d.acceptsRequests(e) {
+		return gateway.Placement{}, false
+	}
 	key := s.key()
 	found, ok := s.d.locations.version(key, e.Incarnation, time.Now())
 	if key.Name != "" && (!ok || found < s.d.cfg.Newest(key)) {
@@ -365,8 +379,11 @@
 // list its adapter. Other engines are not tried: they would reject the request.
 func (s *search) placeByReport(ctx context.Context, ranked []roster.Endpoint) (gateway.Placement, bool) {
 	key := s.key()
-	engines := ranked[:min(reportHomeCount, len(ranked))]
+	refuses := func(e roster.Endpoint) bool { return !s.d.acceptsRequests(e) }
+	engines := slices.DeleteFunc(slices.Clone(ranked[:min(reportHomeCount, len(ranked))]), refuses)
 	holders := s.d.reports.holders(ctx, engines, key, s.d.cfg.Newest(key))
+	// The reports take some time to read.
+	holders = slices.DeleteFunc(holders, func(h holder) bool { return refuses(h.endpoint) })
 	if len(holders) == 0 {
 		return gateway.Placement{}, false
 	}
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -73,6 +73,9 @@
 	Bound, LoadBound time.Duration
 	// Prefetch asks for the adapter to be loaded if no request is waiting for a load. No permit is granted.
 	Prefetch bool
+	// Moving says that the adapter is prefetched because the engines that hold it are evacuated. It is then loaded also if
+	// requests are waiting for other loads, after these. VMs of earlier builds ignore the field.
+	Moving bool
 	// Ended contains the updates to the caller's permits since its last call: requests that have started or
 	// ended.
 	Ended []PermitUpdate
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -417,7 +417,7 @@
 		return w.acquireEvacuating(args, key, from, start)
 	}
 	if args.Prefetch {
-		w.prefetch(key, start)
+		w.prefetch(key, args.Moving, start)
 		w.mu.Unlock()
 		return AcquireReply{Status: Offered}
 	}
@@ -487,9 +487,9 @@
 )
 
 // prefetch requests the load of an adapter that is likely to be needed soon, unless requests are waiting for
-// others. w.mu must be held.
-func (w *worker) prefetch(key residency.Key, now time.Time) {
-	if !w.planner.Ready() || w.planner.Usable(key) || len(w.waiters) > 0 {
+// others and the adapter is not moved from evacuated engines. w.mu must be held.
+func (w *worker) prefetch(key residency.Key, moving bool, now time.Time) {
+	if !w.planner.Ready() || w.planner.Usable(key) || len(w.waiters) > 0 && !moving {
 		return
 	}
 	w.planner.AddWaiter(key, prefetchUrgency, now)
