Evacuation: state dump, and tests at the connection, the gateway and the liveness check

The tests guard against a request that is written after it was forbidden, against retries and health counted for a withheld request, against probes of evacuated endpoints, and against adapters that are not moved because requests wait for other loads.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -161,6 +161,8 @@
 	suspectTable *suspect.Table
 	partTable    *suspect.PartTable
 	prober       suspect.Prober
+	// withheld are the endpoints to which nothing may be sent.
+	withheld []string
 }
 
 // handler simulates an endpoint.
@@ -205,7 +207,7 @@
 	b.logHook = lines
 	g := New(Config{
 		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.keysValid }, RulesAge: func() time.Duration { return 0 }, Dialect: testDialect{},
-		Quota: b.quota, Dispatcher: b.dispatcher, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{}), Suspects: b.suspects(), Memory: b.memory,
+		Quota: b.quota, Dispatcher: b.dispatcher, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{Check: b.check}), Suspects: b.suspects(), Memory: b.memory,
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	b.gateway = g
@@ -214,6 +216,14 @@
 	return b
 }
 
+// check implements upstream.Events.Check.
+func (b *testbed) check(target upstream.Target) error {
+	if slices.Contains(b.withheld, target.ID) {
+		return upstream.ErrWithheld
+	}
+	return nil
+}
+
 // callerResponse is the response that a caller gets.
 type callerResponse struct {
 	status int
@@ -591,3 +601,23 @@
 		require.Empty(t, c.rest())
 	}
 }
+
+// Guards against requests that fail, use up a retry, or count against an endpoint because its failure domain was evacuated
+// immediately before they were sent. A request that must not run twice goes elsewhere too: it has not run.
+func TestRequestWithheldFromItsEndpointGoesToAnother(t *testing.T) {
+	b := newTestbed(t, respondWith("evacuated"), respondWith("other"))
+	b.withheld = []string{"e0"}
+	b.retries = retry.NewWindow(10*time.Second, 0, func() float64 { return 0 })
+	a := b.do("/unsafe/", nil, "")
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, "other", a.body)
+	require.Equal(t, 1, b.arrivals())
+	require.Equal(t, Outcome{Canceled: true}, b.dispatcher.outcomes[0])
+
+	b.withheld = []string{"e0", "e1"}
+	a = b.do("/unsafe/", nil, "")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Equal(t, string(result.NotRun), a.header.Get(headerOutcome))
+	require.Equal(t, "1.000", a.header.Get("Retry-After"))
+	require.Equal(t, 1, b.arrivals())
+}
--- a/pkg/gatewayd/evacuation.go
+++ b/pkg/gatewayd/evacuation.go
@@ -122,6 +122,19 @@
 	return v.evacuations.Domains()
 }
 
+// evacuationState returns the evacuated domains for the dump of the process's state.
+func (v *fleetView) evacuationState(now time.Time) []EvacuatedDomainState {
+	view := v.roster.View()
+	var states []EvacuatedDomainState
+	for _, d := range v.evacuatedDomains() {
+		states = append(states, EvacuatedDomainState{
+			Domain: d.Name, Since: d.Since.UTC().Format(time.RFC3339Nano), For: formatDuration(now.Sub(d.Since)),
+			Moving: formatDuration(max(d.From.Sub(now), 0)), Kept: d.Kept(), Endpoints: len(endpointsIn(view, []evacuation.Domain{d})),
+		})
+	}
+	return states
+}
+
 // evacuationChangeCount returns how often the set of evacuated domains has changed.
 func (v *fleetView) evacuationChangeCount() uint64 {
 	v.mu.RLock()
--- a/pkg/gatewayd/evacuation_test.go
+++ b/pkg/gatewayd/evacuation_test.go
@@ -358,6 +358,12 @@
 	a, _ := v.roster.View().Endpoint("a")
 	require.Equal(t, suspect.Evacuated, v.listing(a))
 
+	state := v.evacuationState(time.Now())
+	require.Len(t, state, 2)
+	require.Equal(t, "north", state[0].Domain)
+	require.Equal(t, 1, state[0].Endpoints)
+	require.Equal(t, "0s", state[0].Moving)
+
 	joined := listedEndpoint("c", false)
 	joined.FailureDomain = "west"
 	v.applyEndpoints(append(domainEndpoints(), joined), 2, time.Now())
--- a/pkg/gatewayd/state.go
+++ b/pkg/gatewayd/state.go
@@ -16,22 +16,24 @@
 // State is the dump of a process's state. It contains no caller's key. An age is the time since the information
 // was last known to be current.
 type State struct {
-	VM            string                   `json:"vm"`
-	Incarnation   string                   `json:"incarnation"`
-	FailureDomain string                   `json:"failure_domain"`
-	Uptime        string                   `json:"uptime"`
-	Ready         bool                     `json:"ready"`
-	Draining      bool                     `json:"draining"`
-	Requests      int64                    `json:"requests"`
-	Config        ConfigState              `json:"config"`
-	Relay         relay.State              `json:"news"`
-	Steward       bool                     `json:"steward"`
-	Leases        []LeaseState             `json:"leases"`
-	VMs           []VMState                `json:"vms"`
-	Endpoints     []EndpointState          `json:"endpoints"`
-	EndpointsAge  string                   `json:"endpoints_age"`
-	Engines       []orders.EngineState     `json:"engines"`
-	Accounts      []allowance.AccountState `json:"accounts"`
+	VM            string          `json:"vm"`
+	Incarnation   string          `json:"incarnation"`
+	FailureDomain string          `json:"failure_domain"`
+	Uptime        string          `json:"uptime"`
+	Ready         bool            `json:"ready"`
+	Draining      bool            `json:"draining"`
+	Requests      int64           `json:"requests"`
+	Config        ConfigState     `json:"config"`
+	Relay         relay.State     `json:"news"`
+	Steward       bool            `json:"steward"`
+	Leases        []LeaseState    `json:"leases"`
+	VMs           []VMState       `json:"vms"`
+	Endpoints     []EndpointState `json:"endpoints"`
+	// EvacuatedDomains are the failure domains that the operator evacuates.
+	EvacuatedDomains []EvacuatedDomainState   `json:"evacuated_domains"`
+	EndpointsAge     string                   `json:"endpoints_age"`
+	Engines          []orders.EngineState     `json:"engines"`
+	Accounts         []allowance.AccountState `json:"accounts"`
 	// Suspects are the requests that were running on endpoints when these crashed.
 	Suspects []suspect.Suspect `json:"suspects"`
 	// HeldParts are the parts of prompts for which requests are refused.
@@ -61,12 +63,28 @@
 	Silent  string `json:"silent"`
 }
 
+// EvacuatedDomainState describes an evacuated failure domain.
+type EvacuatedDomainState struct {
+	Domain string `json:"domain"`
+	// Since is when this VM learned of the evacuation, in RFC 3339. For is the time since then.
+	Since string `json:"since"`
+	For   string `json:"for"`
+	// Moving is the time left in which work may still be moved out of the domain.
+	Moving string `json:"moving"`
+	// Kept says that the store has returned from an older copy without the row, and the evacuation ends soon unless the
+	// operator writes the row again.
+	Kept      bool `json:"kept"`
+	Endpoints int  `json:"endpoints"`
+}
+
 // EndpointState describes an endpoint as seen from this VM.
 type EndpointState struct {
 	Endpoint string `json:"endpoint"`
 	Group    string `json:"group"`
 	Address  string `json:"address"`
 	Draining bool   `json:"draining"`
+	// Evacuated says that the failure domain of the endpoint is evacuated.
+	Evacuated bool `json:"evacuated"`
 	dispatch.HealthStatus
 	ratelimit.State
 }
@@ -88,12 +106,13 @@
 			Groups: len(rules.Bundle.Groups), Accounts: len(rules.Bundle.Accounts),
 		}
 	}
+	s.EvacuatedDomains = view.evacuationState(time.Now())
 	for _, m := range coord.stewards.Members() {
 		s.VMs = append(s.VMs, VMState{VM: m.ID, Address: m.PeerAddress, Gone: m.Gone, Silent: formatDuration(m.SilentFor)})
 	}
 	for _, e := range view.roster.View().All() {
 		s.Endpoints = append(s.Endpoints, EndpointState{
-			Endpoint: e.ID, Group: e.Group, Address: e.Address, Draining: e.Draining,
+			Endpoint: e.ID, Group: e.Group, Address: e.Address, Draining: e.Draining, Evacuated: e.Evacuating(),
 			HealthStatus: p.components.Dispatcher.HealthStatus(e.Incarnation), State: p.components.Limits.State(e.ID),
 		})
 	}
--- a/pkg/orders/evacuation_test.go
+++ b/pkg/orders/evacuation_test.go
@@ -143,3 +143,30 @@
 		require.Equal(t, Granted, f.acquire(f.newArgs("a")).Status)
 	})
 }
+
+// Guards against adapters of an evacuated domain that are not loaded elsewhere because requests always wait for other loads there.
+// Those that are requested more often are loaded first.
+func TestMovedAdapterIsLoadedBesideOtherLoads(t *testing.T) {
+	for _, moving := range []bool{true, false} {
+		runWithFixture(t, func(f *fixture) {
+			f.gainLease()
+			time.Sleep(time.Second)
+			wanted := f.newArgs("wanted")
+			go func() { f.acquire(wanted) }()
+			time.Sleep(10 * time.Millisecond)
+			for _, name := range []string{"rare", "often", "often"} {
+				args := f.newArgs(name)
+				args.Prefetch, args.Moving = true, moving
+				require.Equal(t, Offered, f.acquire(args).Status)
+			}
+			time.Sleep(prefetchLifetime - 20*time.Millisecond)
+			f.engines.mu.Lock()
+			defer f.engines.mu.Unlock()
+			require.Contains(t, f.engines.loaded, "wanted")
+			require.Equal(t, moving, f.engines.loaded["often"] != time.Time{})
+			if moving {
+				require.False(t, f.engines.loaded["rare"].Before(f.engines.loaded["often"]))
+			}
+		})
+	}
+}
--- a/pkg/suspect/detector_test.go
+++ b/pkg/suspect/detector_test.go
@@ -189,6 +189,35 @@
 	})
 }
 
+// Guards against probes of an endpoint that must not be reached, and against requests that are held responsible for its silence:
+// losses there start no check, and a check in progress ends without a result.
+func TestEvacuatedEndpointIsNotProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakeEndpoints()
+		d := newTestDetector(t, p)
+		p.listed["evacuated"] = Evacuated
+		d.ConnectionLost(testEndpoint("evacuated"), account, fp, time.Now(), 0)
+		d.PartsLost(testEndpoint("evacuated"), account, []string{"part"}, time.Now())
+		require.True(t, d.NoSuspects())
+
+		d.ConnectionLost(testEndpoint("e"), account, fp, time.Now(), 0)
+		d.PartsLost(testEndpoint("e"), account, []string{"part"}, time.Now())
+		time.Sleep(presumeCrashedAfter / 2)
+		requireCrashes(t, d, 1, 0)
+		p.mu.Lock()
+		p.listed["e"] = Evacuated
+		p.mu.Unlock()
+		time.Sleep(probeTimeout + probeInterval)
+		p.mu.Lock()
+		probes := p.probes
+		p.mu.Unlock()
+		time.Sleep(time.Second)
+		require.Equal(t, probes, p.probes)
+		requireCrashes(t, d, 0, 0)
+		require.Zero(t, d.openChecks.Load())
+	})
+}
+
 // A complete response must clear a request of all crashes held against it: it does not crash every endpoint.
 func TestCompleteResponseClears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
