--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -128,6 +128,7 @@
 	if len(candidates) == 0 {
 		if len(outside) == 0 && len(d.group(req)) > 0 {
 			d.withheld.Inc(1)
+			return gateway.Placement{}, result.New(result.NoEndpoint, "all endpoints for the route are in evacuated failure domains")
 		}
 		return gateway.Placement{}, d.noEndpointError(req, outside)
 	}
--- a/pkg/dispatch/evacuation.go
+++ b/pkg/dispatch/evacuation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
@@ -13,7 +14,7 @@
 )
 
 // metricWithheld is the name of the counter of requests that were kept from endpoints in evacuated failure domains.
-const metricWithheld = "evacuation.requests_withheld"
+const metricWithheld = "gateway.requests_withheld"
 
 // errEvacuated says that a failure domain was evacuated while a request waited for one of its engines. Other engines may have room.
 var errEvacuated = errors.New("the failure domain of an engine was evacuated")
@@ -70,6 +71,8 @@
 	if !known || !d.owners.available(address, time.Now()) {
 		return
 	}
+	d.cfg.Log.WithFields(logrus.Fields{"event": "adapter_moving", "id": req.ID, "adapter": req.Terms.Adapter, "endpoint": e.ID}).
+		Debug("adapter ordered outside the evacuated failure domain")
 	args := d.acquireArgs(req, e)
 	args.Prefetch, args.Moving = true, true
 	d.owners.acquire(ctx, address, args)
--- a/pkg/gatewayd/evacuation.go
+++ b/pkg/gatewayd/evacuation.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/evacuation"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
@@ -16,8 +17,8 @@
 // Names of the gauge of evacuated failure domains, and of the counter of requests, orders and probes that were about to be sent
 // to one and were withheld.
 const (
-	metricEvacuatedDomains  = "evacuation.domains"
-	metricEvacuatedWithheld = "evacuation.withheld"
+	metricEvacuatedDomains  = "gateway.evacuated_domains"
+	metricEvacuatedWithheld = "upstream.withheld"
 )
 
 // applyEvacuations applies the operator's rows that evacuate failure domains, as read at a position of their table; see
@@ -142,10 +143,17 @@
 	return v.evacuationChanges
 }
 
-// mayReach returns an error that wraps upstream.ErrWithheld if nothing may be sent to an endpoint now.
+// mayReach returns an error that wraps upstream.ErrWithheld if nothing may be sent to an endpoint now. The time for which this VM
+// was suspended since it learned of an evacuation counts.
 func (v *fleetView) mayReach(target upstream.Target) error {
 	e, listed := v.roster.View().Endpoint(target.ID)
-	if !listed || !e.Evacuated(time.Now()) {
+	if !listed || !e.Evacuating() {
+		return nil
+	}
+	v.mu.RLock()
+	d, evacuated := v.evacuations.Domain(e.FailureDomain)
+	v.mu.RUnlock()
+	if !evacuated || clock.Elapsed(d.Since, time.Now()) < d.From.Sub(d.Since) {
 		return nil
 	}
 	return errors.Wrap(upstream.ErrWithheld, fmt.Sprintf("failure domain %s is evacuated", e.FailureDomain))
