Decode the cold time of endpoints and the cold rate of services

Cause: nothing reads cold_left_ms, X-Cold-Ms, cold_start_s, cold_per_s and the bounds for cold endpoints. Change: decode them into our own types. Values out of range are bounded or ignored and kept for a log line; they never make an endpoint or a configuration unusable.

--- a/pkg/bundle/model.go
+++ b/pkg/bundle/model.go
@@ -43,6 +43,8 @@
 	Keys      map[string]Key
 	// Callers bounds what callers may send to VMs that dispatch directly.
 	Callers CallerLimits
+	// Warnings lists values that are out of range and were bounded or ignored.
+	Warnings []string
 
 	index *index
 }
@@ -90,6 +92,11 @@
 	HealthPath string
 	// MaxConnections bounds the connections that one endpoint takes from all VMs; 0 means no bound.
 	MaxConnections int
+	// ColdDuration is how long an endpoint of the group is cold after it has started while there is traffic, and ColdRate
+	// the number of requests per second that a cold endpoint accepts from all VMs together. A rate of 0 stands for no
+	// limit.
+	ColdDuration time.Duration
+	ColdRate     float64
 	// Engine holds what the engines of the group have in common; nil for services.
 	Engine *Engine
 }
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -86,6 +86,11 @@
 	RateLimit     float64
 	HasRateLimit  bool
 	RateLimitText string
+	// ColdLeft is how long the endpoint stays cold; 0 if it is not cold. It is valid only if HasColdLeft is set.
+	// ColdText is the value as the endpoint sent it, if that was bounded or ignored.
+	ColdLeft    time.Duration
+	HasColdLeft bool
+	ColdText    string
 }
 
 // Dialect reads and writes the headers of one platform.
--- a/pkg/gatewayd/fleetview.go
+++ b/pkg/gatewayd/fleetview.go
@@ -120,6 +120,9 @@
 		return
 	}
 	v.rules.Store(gateway.NewRules(config))
+	for _, warning := range config.Warnings {
+		v.log.WithFields(logrus.Fields{"event": "config_value_ignored", "version": config.Version, "warning": warning}).Warn("a value of the configuration is out of range and is bounded or ignored")
+	}
 	for _, a := range config.Accounts {
 		if old == nil || old.Bundle.Accounts[a.Name] != a {
 			v.log.WithFields(logrus.Fields{"event": "account_limit", "account": a.Name, "rate": a.Rate, "burst": a.Burst}).Info("limit of a client account set")
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -129,6 +129,7 @@
 	restartOnly("cores", func(s *Settings) *float64 { return &s.Limits.Cores }),
 	restartOnly("order_turns", func(s *Settings) *time.Duration { return &s.Bounds.MinOrderGap }),
 	restartOnly("retries", func(s *Settings) *RetryBounds { return &s.Bounds.Retry }),
+	restartOnly("cold", func(s *Settings) *ColdBounds { return &s.Bounds.Cold }),
 	restartOnly("quota", func(s *Settings) *QuotaBounds { return &s.Bounds.Quota }),
 }
 
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -63,6 +63,7 @@
 	MinOrderGap time.Duration
 	Retry       RetryBounds
 	Quota       QuotaBounds
+	Cold        ColdBounds
 }
 
 // RetryBounds limit the retries that all VMs together may make to an endpoint group within Window: to Share of
@@ -80,3 +81,17 @@
 	Slack   float64
 	Window  time.Duration
 }
+
+// ColdBounds set how many requests all VMs together may send to a cold endpoint within any one second: Overage times the
+// rate that the endpoint accepts while it is cold, plus Slack.
+type ColdBounds struct {
+	Overage float64
+	Slack   float64
+}
+
+// Defaults of ColdBounds for deployments that set none: within a second a cold endpoint gets a quarter more than its rate
+// at most, and two requests more where the rate is low.
+const (
+	DefaultColdOverage = 1.25
+	DefaultColdSlack   = 2
+)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -31,10 +31,27 @@
 	// Kept reports that the endpoint is missing from the platform's list but retained for now: the VM that reads
 	// the list could not reach the store for a while, and the endpoint may come back to the list.
 	Kept bool
+	// Cold is what the entry says about how long the endpoint stays cold.
+	Cold Cold `json:",omitzero"`
 	// GoneAt is the time when an endpoint that leaves at short notice will terminate; zero if not known.
 	GoneAt time.Time
 }
 
+// Cold is what an entry of the list of endpoints says about how long the endpoint stays cold, which means that it accepts
+// requests at a low rate only. The zero value stands for an entry that says nothing.
+type Cold struct {
+	// Stated reports that the entry states a remaining time.
+	Stated bool `json:",omitzero"`
+	// Left is the remaining time when the entry was written; 0 if the endpoint is not cold.
+	Left time.Duration `json:",omitzero"`
+	// Version identifies what was written: the same version is read again until the endpoint writes the entry again, and
+	// the remaining time counts from when a version is first seen. It is 0 if it is not known. To VMs that do not read
+	// the list themselves it is passed on for cold endpoints only, since it changes with each heartbeat.
+	Version uint64 `json:",omitzero"`
+	// Malformed is the value as written, if that is out of range. It is not passed on to other VMs.
+	Malformed string `json:"-"`
+}
+
 // Adapter is one version of an adapter.
 type Adapter struct {
 	Model   string
