ratelimit: cold endpoints get their cold rate from all VMs together

Cause: an endpoint that has started, or returns to service, crashes if it gets more than its cold rate. Nothing limited that. Change: a cold endpoint has a second limit beside the one that it states. The home grants requests from a bucket sized so that a burst, the rate of a second, shares of VMs that cannot reach the home and late requests stay within the bounds for one second. The cold time comes from a new incarnation in the list, from its entry, from a response, from another VM, or from TreatAsCold. The list is recorded before requests go to endpoints that it adds. Result: new tests in virtual time with 1 to 195 VMs sending 400 requests a second.

--- a/pkg/gatewayd/fleetview.go
+++ b/pkg/gatewayd/fleetview.go
@@ -15,6 +15,7 @@
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/suspect"
@@ -27,12 +28,17 @@
 	log      logrus.FieldLogger
 	roster   *roster.Roster
 	rules    atomic.Pointer[gateway.Rules]
+	// coldCache holds the last result of coldLimits.
+	coldCache atomic.Pointer[coldLimitCache]
 	// onChange is called after the endpoint list or the operator's rows have been applied. It is set before any
 	// component starts.
 	onChange func()
 	// onEndpointRead is called with each endpoint that this VM itself has read from the platform's list. It is
 	// set before any component starts.
 	onEndpointRead func(roster.Endpoint)
+	// onEndpoints is called with each list of endpoints that is applied, before requests go to endpoints that it adds, and
+	// with a time at which the list was current. It is set before any component starts.
+	onEndpoints func(list []roster.Endpoint, confirmed time.Time)
 
 	// replaceMu is held while the endpoint list is replaced.
 	replaceMu sync.Mutex
@@ -56,6 +62,12 @@
 	endpointsPosition uint64
 }
 
+// coldLimitCache holds the limits for cold endpoints of a configuration. They are looked up with each response.
+type coldLimitCache struct {
+	bundle *bundle.Bundle
+	limits map[string]ratelimit.ColdLimit
+}
+
 // versionedRow is a row of the operator with the operator's own version of its content; 0 if it cannot be decoded.
 type versionedRow struct {
 	value   []byte
@@ -65,6 +77,7 @@
 func newFleetView(p Platform, log logrus.FieldLogger) *fleetView {
 	return &fleetView{
 		platform: p, log: log, roster: roster.New(), onChange: func() {}, onEndpointRead: func(roster.Endpoint) {},
+		onEndpoints:  func([]roster.Endpoint, time.Time) {},
 		operatorRows: map[string]versionedRow{}, newestVersions: map[residency.Key]int{}, leaving: map[roster.Incarnation]time.Time{}, malformed: map[string][]byte{},
 	}
 }
@@ -154,12 +167,17 @@
 
 // logMalformed logs a row that cannot be decoded, once for each value of the row.
 func (v *fleetView) logMalformed(event, key string, value []byte, err error) {
+	v.logOnce(event, key, value, err, "cannot decode a row of the store; the row is ignored")
+}
+
+// logOnce logs an error in a value of a row, once until the value changes.
+func (v *fleetView) logOnce(event, key string, value []byte, err error, message string) {
 	v.mu.Lock()
 	known := bytes.Equal(v.malformed[key], value)
 	v.malformed[key] = value
 	v.mu.Unlock()
 	if !known {
-		v.log.WithError(err).WithFields(logrus.Fields{"event": event, "key": key}).Warn("cannot decode a row of the store; the row is ignored")
+		v.log.WithError(err).WithFields(logrus.Fields{"event": event, "key": key}).Warn(message)
 	}
 }
 
@@ -193,6 +211,7 @@
 			list[i].Draining = true
 		}
 	}
+	v.onEndpoints(list, confirmed)
 	v.setEndpoints(old, list)
 	return true
 }
@@ -359,6 +378,31 @@
 	return g, ok
 }
 
+// coldLimits returns the limits for cold endpoints by group; groups without one are missing.
+func (v *fleetView) coldLimits() map[string]ratelimit.ColdLimit {
+	rules := v.rules.Load()
+	if rules == nil {
+		return nil
+	}
+	if cached := v.coldCache.Load(); cached != nil && cached.bundle == rules.Bundle {
+		return cached.limits
+	}
+	limits := map[string]ratelimit.ColdLimit{}
+	for name, g := range rules.Bundle.Groups {
+		if g.ColdRate > 0 {
+			limits[name] = ratelimit.ColdLimit{Rate: g.ColdRate, Duration: g.ColdDuration}
+		}
+	}
+	v.coldCache.Store(&coldLimitCache{bundle: rules.Bundle, limits: limits})
+	return limits
+}
+
+// groupOf returns the group of a listed endpoint, or false if it is not listed.
+func (v *fleetView) groupOf(endpoint string) (string, bool) {
+	e, ok := v.roster.View().Endpoint(endpoint)
+	return e.Group, ok
+}
+
 // listing returns whether the endpoint list contains this incarnation of an endpoint, a later one, or one that
 // is draining.
 func (v *fleetView) listing(e roster.Endpoint) suspect.Listing {
--- a/pkg/gatewayd/storereader.go
+++ b/pkg/gatewayd/storereader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/clock"
@@ -160,6 +161,7 @@
 		if restored && !r.knows(e) {
 			continue
 		}
+		e.Cold = r.coldOf(key, row, e, restored)
 		if !restored {
 			r.view.onEndpointRead(e)
 		}
@@ -169,7 +171,7 @@
 	values := make(map[string][]byte, len(list))
 	for i := range list {
 		list[i].Loaded = nil
-		data, err := json.Marshal(list[i])
+		data, err := json.Marshal(published(list[i]))
 		if err != nil {
 			r.log.WithError(err).WithField("event", "endpoint_not_published").Error("cannot encode an endpoint; it is not passed on to other VMs")
 			continue
@@ -183,6 +185,31 @@
 	r.view.applyEndpoints(list, r.endpointsPosition, r.endpoints.Confirmed())
 }
 
+// coldOf returns what a row says about how long its endpoint stays cold: nothing if an older copy of the store has brought
+// it back.
+func (r *storeReader) coldOf(key string, row platform.Row, e roster.Endpoint, restored bool) roster.Cold {
+	if e.Cold.Malformed != "" {
+		r.view.logOnce("endpoint_cold_malformed", key+" cold time", []byte(e.Cold.Malformed), errColdOutOfRange, "cold time of an endpoint's row is bounded or ignored")
+	}
+	if restored {
+		return roster.Cold{}
+	}
+	e.Cold.Version = row.Version
+	return e.Cold
+}
+
+// errColdOutOfRange says that the cold time of an entry was bounded or ignored.
+var errColdOutOfRange = errors.New("the cold time is not a number from 0 to an hour")
+
+// published returns an endpoint as it is sent to other VMs. The version of the entry is left out unless the endpoint is cold:
+// with it, all entries would be sent again with each heartbeat.
+func published(e roster.Endpoint) roster.Endpoint {
+	if e.Cold.Left == 0 {
+		e.Cold.Version = 0
+	}
+	return e
+}
+
 // noteRestored records which rows of the endpoint list a return of the store from an older copy has brought back, and forgets
 // those that have been written since. The caller holds r.mu.
 func (r *storeReader) noteRestored(rows map[string]platform.Row, position uint64, now time.Time) {
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -126,10 +126,11 @@
 )
 
 // newRateLimiter returns the limiter of the requests to endpoints. The owner of an engine is also the home of its limit.
-func newRateLimiter(bg background, id identity, coord coordination, pp peers, registry metrics.Registry, log logrus.FieldLogger) *ratelimit.Limiter {
+func newRateLimiter(s Settings, bg background, id identity, view *fleetView, coord coordination, pp peers, registry metrics.Registry, log logrus.FieldLogger) *ratelimit.Limiter {
 	return ratelimit.New(bg, ratelimit.Config{
 		Self: id.vm, Leases: coord.stewards, LeaseOf: orders.LeaseOf, Fleet: coord.stewards, FleetSize: coord.stewards.vmCount,
-		PeerClient: pp.pool, Metrics: registry, Log: log,
+		PeerClient: pp.pool, Cold: view.coldLimits, GroupOf: view.groupOf, ColdBounds: ratelimit.ColdBounds(s.Bounds.Cold),
+		FirstStart: s.FirstStart, Metrics: registry, Log: log,
 	})
 }
 
@@ -460,8 +461,9 @@
 // connectComponents sets the callbacks that cannot be passed to constructors, because the components depend on
 // each other: gained and lost leases are forwarded to every component that acts under leases, changes of the
 // fleet view to the orders and the leases, and changes of the membership to the leases.
-func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, p *process) {
+func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, limits *ratelimit.Limiter, p *process) {
 	view.onEndpointRead = d.RecordLoaded
+	view.onEndpoints = limits.Listed
 	coord.leaseListeners.listeners = []lease.Listener{o, a.home}
 	coord.leaseListeners.note = a.home.Note
 	coord.members.SetStatus(func() membership.Status {
--- a/pkg/ratelimit/bucket.go
+++ b/pkg/ratelimit/bucket.go
@@ -28,7 +28,8 @@
 
 // take takes a token at the given limit. If there is none, it returns the time until there is one.
 func (b *bucket) take(limit float64, started int64, now time.Time) (granted bool, retryAfter time.Duration) {
-	b.refill(limit, now)
+	rate := effectiveRate(limit)
+	b.refill(rate, max(1, rate*burstPeriod.Seconds()), now)
 	if started > b.started {
 		if b.started != 0 {
 			// The limit is that of an earlier incarnation. The first response shows whether it still holds.
@@ -40,16 +41,28 @@
 		b.tokens--
 		return true, 0
 	}
-	missing := (1 - b.tokens) / effectiveRate(limit)
-	return false, min(time.Duration(missing*float64(time.Second))+time.Millisecond, maxRetryAfter)
+	return false, min(b.untilToken(rate), maxRetryAfter)
 }
 
-// refill adds the tokens of the time since the last call.
-func (b *bucket) refill(limit float64, now time.Time) {
-	rate := effectiveRate(limit)
+// missing returns 0 if the bucket, which has the given rate and size, holds a token, or else the time until it does.
+func (b *bucket) missing(rate, size float64, now time.Time) time.Duration {
+	b.refill(rate, size, now)
+	if b.tokens >= 1 {
+		return 0
+	}
+	return b.untilToken(rate)
+}
+
+// untilToken returns the time until the bucket, which holds none, holds a token.
+func (b *bucket) untilToken(rate float64) time.Duration {
+	return time.Duration((1-b.tokens)/rate*float64(time.Second)) + time.Millisecond
+}
+
+// refill adds the tokens of the time since the last call, up to the size of the bucket.
+func (b *bucket) refill(rate, size float64, now time.Time) {
 	if !b.refilledAt.IsZero() {
 		b.tokens += rate * max(now.Sub(b.refilledAt), 0).Seconds()
 	}
-	b.tokens = min(b.tokens, max(1, rate*burstPeriod.Seconds()))
+	b.tokens = min(b.tokens, size)
 	b.refilledAt = now
 }
--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -55,6 +55,14 @@
 	// limit is what the endpoint states; nil for no limit.
 	limit    *float64
 	arrivals []time.Time
+	// cold is the limit of cold endpoints and firstStart says that the whole deployment starts for the first time.
+	cold       ColdLimit
+	firstStart bool
+	// oldHome says that the home is of a build that knows no cold endpoints.
+	oldHome bool
+	// entry is the endpoint's entry in the list, and coldUntil until when the endpoint is cold.
+	entry     roster.Endpoint
+	coldUntil time.Time
 }
 
 // simVM is a VM of a fleet. It implements lease.View, Fleet and peer.Client.
@@ -64,8 +72,10 @@
 	// incarnation counts the starts of its process, knownVMs is the number of VMs that it knows.
 	incarnation int
 	knownVMs    int
-	limiter     *Limiter
-	stop        context.CancelFunc
+	// target is the incarnation of the endpoint that the VM's list contains; that of the fleet if it has none.
+	target  *roster.Incarnation
+	limiter *Limiter
+	stop    context.CancelFunc
 }
 
 func newFleet(ctx context.Context, t *testing.T, vms int) *fleet {
@@ -91,6 +101,7 @@
 	v.limiter = New(ctx, Config{
 		Self: vmName(index), Leases: v, LeaseOf: func(string) string { return "lease" }, Fleet: v, FleetSize: func() int { return v.knownVMs },
 		PeerClient: v, Metrics: metrics.NewRegistry(), Log: log,
+		Cold: f.coldLimits, GroupOf: func(string) (string, bool) { return "g", true }, ColdBounds: testBounds, FirstStart: f.firstStart,
 	})
 	go v.limiter.Run(ctx)
 }
@@ -127,7 +138,7 @@
 	require.NoError(v.f.t, err)
 	v.f.mu.Lock()
 	cut, other := v.f.cut != nil && v.f.cut(v.index, to), v.f.vms[to]
-	service := other.limiter.Service()
+	service, old := other.limiter.Service(), v.f.oldHome
 	v.f.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -141,6 +152,10 @@
 	switch a := args.(type) {
 	case *TakeArgs:
 		require.Equal(v.f.t, takeMethod, method)
+		if old {
+			reply.(*TakeReply).Granted = true
+			return nil
+		}
 		return service.Take(encoded(v.f.t, a), reply.(*TakeReply))
 	case *AnnounceArgs:
 		require.Equal(v.f.t, announceMethod, method)
@@ -162,12 +177,19 @@
 func (f *fleet) send(index int) {
 	f.mu.Lock()
 	limiter, target := f.vms[index].limiter, f.endpoint
+	if listed := f.vms[index].target; listed != nil {
+		target = *listed
+	}
 	f.mu.Unlock()
 	if !limiter.Take(target).Granted {
 		return
 	}
 	sent := time.Now()
 	f.mu.Lock()
+	if target != f.endpoint {
+		f.mu.Unlock()
+		return
+	}
 	f.arrivals = append(f.arrivals, sent)
 	f.mu.Unlock()
 	time.Sleep(responseTime)
--- a/pkg/ratelimit/home.go
+++ b/pkg/ratelimit/home.go
@@ -52,12 +52,20 @@
 	s.limiter.mu.Lock()
 	defer s.limiter.mu.Unlock()
 	s.limiter.learn(args.Stated.Endpoint, args.Stated.statement(now.Add(-callTimeout), now), args.VM)
+	s.limiter.learnColdFrom(args.VM, args.Stated.Endpoint, args.Cold, now.Add(-callTimeout), now)
 	e := s.limiter.endpoint(args.Stated.Endpoint)
 	e.recordReport(args.VM, args.Recent, now)
 	reply.Recent = e.unasked.recent(now)
 	return nil
 }
 
+// learnColdFrom records the cold time of a message that another VM wrote between from and to. l.mu is held.
+func (l *Limiter) learnColdFrom(vm, id string, m ColdStated, from, to time.Time) {
+	if m.valid() {
+		l.learnCold(id, m.statement(from, to), m.Rate, vm)
+	}
+}
+
 // isHome reports whether this VM is the home of an endpoint now.
 func (l *Limiter) isHome(endpoint string) bool {
 	_, held := l.cfg.Leases.Held(l.cfg.LeaseOf(endpoint))
@@ -75,13 +83,36 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.learn(id, s, args.VM)
+	if args.VM != l.cfg.Self {
+		l.learnColdFrom(args.VM, id, args.Cold, now.Add(-callTimeout), now)
+	}
 	e := l.endpoint(id)
 	e.recordReport(args.VM, args.Recent, now)
-	reply := TakeReply{Granted: true, Stated: e.stated.message(id, now)}
+	granted, retryAfter := l.grantTo(e, args.Started, now)
+	return TakeReply{Granted: granted, RetryAfter: retryAfter, Stated: e.stated.message(id, now), Cold: e.cold.message(now)}
+}
+
+// grantTo grants or refuses a request to an endpoint within its stated limit and, while it is cold, within the rate for
+// cold endpoints. l.mu is held.
+func (l *Limiter) grantTo(e *endpoint, started int64, now time.Time) (granted bool, retryAfter time.Duration) {
+	cold := e.cold.active(now)
+	if cold {
+		if wait := e.coldWait(l.cfg.ColdBounds.policy(e.cold.rate), l.maxVMs, now); wait > 0 {
+			return false, wait
+		}
+	}
 	if e.stated.limited() {
-		reply.Granted, reply.RetryAfter = e.grant(args.Started, now)
+		if granted, retryAfter = e.grant(started, now); !granted {
+			return false, retryAfter
+		}
+	} else {
+		e.granted.add(now)
+	}
+	if cold {
+		e.cold.bucket.tokens--
 	}
-	return reply
+	l.countCold(e, now)
+	return true, 0
 }
 
 // grant grants or refuses a request to an endpoint that states a limit.
@@ -130,6 +161,8 @@
 type announced struct {
 	incarnation string
 	rate        float64
+	// coldSince is the beginning of the cold time that was announced; zero if none was.
+	coldSince time.Time
 }
 
 // enough reports whether a limit need not be announced to the process of a VM after this.
@@ -146,7 +179,7 @@
 		if l.isHome(id) {
 			homeOf = append(homeOf, id)
 		} else {
-			l.forgetAnnounced(id)
+			l.forgetHome(id)
 		}
 	}
 	if len(homeOf) == 0 {
@@ -168,25 +201,28 @@
 	}
 }
 
-// limitedEndpoints returns the IDs of the endpoints that state limits.
+// limitedEndpoints returns the IDs of the endpoints that state limits or are cold.
 func (l *Limiter) limitedEndpoints() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var ids []string
+	now := time.Now()
 	for id, e := range l.endpoints {
-		if e.stated.limited() {
+		if e.limited(now) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-// forgetAnnounced forgets what was announced about an endpoint that has another home now.
-func (l *Limiter) forgetAnnounced(id string) {
+// forgetHome forgets what was announced about an endpoint that has another home now, and the burst that this VM might have
+// granted: the other home may just have granted one.
+func (l *Limiter) forgetHome(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.endpoints[id]; e != nil {
 		clear(e.announced)
+		e.cold.bucket = bucket{}
 	}
 }
 
@@ -194,14 +230,17 @@
 func (l *Limiter) announcement(id string, m membership.Member) *AnnounceArgs {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.endpoints[id]
-	if e == nil || !e.stated.limited() || m.ID == l.cfg.Self || m.Gone || m.SilentFor > maxSilence {
+	e, now := l.endpoints[id], time.Now()
+	if e == nil || m.ID == l.cfg.Self || m.Gone || m.SilentFor > maxSilence {
 		return nil
 	}
-	if last, ok := e.announced[m.ID]; ok && last.enough(m.Incarnation, e.stated.rate) {
+	last, ok := e.announced[m.ID]
+	limit := e.stated.limited() && !(ok && last.enough(m.Incarnation, e.stated.rate))
+	cold := e.coldAnnounceable(now) && !(ok && last.incarnation == m.Incarnation && last.coldSince.Equal(e.cold.since))
+	if !limit && !cold {
 		return nil
 	}
-	return &AnnounceArgs{VM: l.cfg.Self, Stated: e.stated.message(id, time.Now())}
+	return &AnnounceArgs{VM: l.cfg.Self, Stated: e.stated.message(id, now), Cold: e.cold.message(now)}
 }
 
 // announceTo announces a limit to one VM.
@@ -219,6 +258,6 @@
 	if e.announced == nil {
 		e.announced = map[string]announced{}
 	}
-	e.announced[m.ID] = announced{m.Incarnation, args.Stated.Rate}
+	e.announced[m.ID] = announced{incarnation: m.Incarnation, rate: args.Stated.announcedRate(), coldSince: e.cold.since}
 	return nil
 }
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -58,7 +58,15 @@
 	LeaseOf func(endpoint string) string
 	Fleet   Fleet
 	// FleetSize returns the number of VMs that are known to be in the fleet, 1 if no other VM is known.
-	FleetSize  func() int
+	FleetSize func() int
+	// Cold returns the limits of cold endpoints by group; groups without one are missing. GroupOf returns the group of a
+	// listed endpoint. Without these functions no endpoint is cold.
+	Cold    func() map[string]ColdLimit
+	GroupOf func(endpoint string) (string, bool)
+	// ColdBounds set how many requests a cold endpoint may get within a second.
+	ColdBounds ColdBounds
+	// FirstStart says that the whole deployment starts for the first time.
+	FirstStart bool
 	PeerClient peer.Client
 	Metrics    metrics.Registry
 	Log        logrus.FieldLogger
@@ -69,7 +77,10 @@
 	cfg               Config
 	ctx               context.Context
 	changes, withheld metrics.Counter
-	wake              chan struct{}
+	// coldGranted, coldWithheld and cold are described at the names of the metrics.
+	coldGranted, coldWithheld metrics.Counter
+	cold                      metrics.Gauge
+	wake                      chan struct{}
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -78,11 +89,17 @@
 	// maxVMs is the greatest number of VMs that this process has known. VMs that are cut off from each other must
 	// not each use the share of a VM in a small fleet.
 	maxVMs int
+	// listed holds the last entries of the endpoints that may be cold, by ID, lists is the number of lists recorded, and
+	// coldGroups are the groups that had a limit for cold endpoints when the last one was.
+	listed     map[string]listEntry
+	lists      uint64
+	coldGroups map[string]bool
 }
 
 // endpoint is what this VM knows about the limit of one endpoint.
 type endpoint struct {
 	stated statement
+	cold   coldState
 	// blockedUntil is until when no request is sent from this VM to the incarnation blockedStarted of the endpoint.
 	blockedUntil   time.Time
 	blockedStarted int64
@@ -105,9 +122,13 @@
 // New returns a Limiter that knows of no limits. Its calls to other VMs end when ctx ends.
 func New(ctx context.Context, cfg Config) *Limiter {
 	return &Limiter{
-		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), endpoints: map[string]*endpoint{},
+		cfg: cfg, ctx: ctx, wake: make(chan struct{}, 1), endpoints: map[string]*endpoint{}, listed: map[string]listEntry{},
 		changes:  metrics.GetOrRegisterCounter(metricChanges, cfg.Metrics),
 		withheld: metrics.GetOrRegisterCounter(metricWithheld, cfg.Metrics),
+
+		coldGranted:  metrics.GetOrRegisterCounter(metricColdGranted, cfg.Metrics),
+		coldWithheld: metrics.GetOrRegisterCounter(metricColdWithheld, cfg.Metrics),
+		cold:         metrics.GetOrRegisterGauge(metricCold, cfg.Metrics),
 	}
 }
 
@@ -130,8 +151,15 @@
 // sourceResponse is the source, in logs, of statements in responses to this VM. Other sources are VMs.
 const sourceResponse = "response"
 
-// Observe records what a response states about the limit of an endpoint. sent is when the request was sent.
+// Observe records what a response states about the limit and the cold time of an endpoint. sent is when the request was
+// sent.
 func (l *Limiter) Observe(id roster.Incarnation, info dialect.ResponseInfo, sent time.Time) {
+	l.observeCold(id, info, sent)
+	l.observeLimit(id, info, sent)
+}
+
+// observeLimit records what a response states about the limit of an endpoint.
+func (l *Limiter) observeLimit(id roster.Incarnation, info dialect.ResponseInfo, sent time.Time) {
 	s := statement{started: id.Started, rate: unlimited, sent: sent, received: time.Now()}
 	switch {
 	case info.RateLimitText != "":
@@ -153,6 +181,17 @@
 	}
 }
 
+// limited reports whether the endpoint states a limit or is cold.
+func (e *endpoint) limited(now time.Time) bool { return e.stated.limited() || e.cold.active(now) }
+
+// limit returns the lowest limit that holds for the endpoint; unlimited if there is none.
+func (e *endpoint) limit(now time.Time) float64 {
+	if e.cold.active(now) {
+		return min(e.stated.rate, e.cold.rate)
+	}
+	return e.stated.rate
+}
+
 // endpoint returns what is known about an endpoint. l.mu is held.
 func (l *Limiter) endpoint(id string) *endpoint {
 	e := l.endpoints[id]
@@ -207,7 +246,8 @@
 	defer cancel()
 	now := time.Now()
 	l.mu.Lock()
-	args := &AnnounceArgs{VM: l.cfg.Self, Stated: s.message(id, now), Recent: l.endpoint(id).unasked.recent(now)}
+	e := l.endpoint(id)
+	args := &AnnounceArgs{VM: l.cfg.Self, Stated: s.message(id, now), Cold: e.cold.message(now), Recent: e.unasked.recent(now)}
 	l.mu.Unlock()
 	if err := l.cfg.PeerClient.Call(ctx, holder.Address, announceMethod, args, &AnnounceReply{}); err != nil {
 		// The home learns of a limit when it is next asked, and of its end from a response to another VM.
@@ -222,8 +262,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countVMs()
+	l.sweepCold(now)
 	for id, e := range l.endpoints {
-		if e.unasked.sum(now) == 0 && (!e.stated.known() || clock.Elapsed(e.stated.received, now) > retention) {
+		if e.unasked.sum(now) == 0 && e.cold.outdated(now) && (!e.stated.known() || clock.Elapsed(e.stated.received, now) > retention) {
 			delete(l.endpoints, id)
 		}
 	}
--- a/pkg/ratelimit/share.go
+++ b/pkg/ratelimit/share.go
@@ -21,14 +21,14 @@
 	next time.Time
 }
 
-// take uses the turn of this VM, one of vms. If there is none now, it returns the time until the next one. phase returns
-// when the first turn begins, as a part of the period from 0 to 1.
-func (s *share) take(limit float64, vms int, phase func() float64, now time.Time) (granted bool, retryAfter time.Duration) {
-	seconds := float64(vms) / (shareOfLimit * effectiveRate(limit))
+// take uses the turn of this VM, one of vms that together use a rate. If there is none now, it returns the time until the
+// next one. A turn may be used for longest. phase returns when the first turn begins, as a part of the period from 0 to 1.
+func (s *share) take(rate float64, longest time.Duration, vms int, phase func() float64, now time.Time) (granted bool, retryAfter time.Duration) {
+	seconds := float64(vms) / rate
 	if period := time.Duration(seconds * float64(time.Second)); period != s.period {
 		s.period, s.next = period, now.Add(time.Duration(phase()*float64(period)))
 	}
-	turn := min(s.period, maxTurn)
+	turn := min(s.period, longest)
 	if missed := now.Sub(s.next) - turn; missed > 0 {
 		s.next = s.next.Add((missed/s.period + 1) * s.period)
 	}
--- a/pkg/ratelimit/window.go
+++ b/pkg/ratelimit/window.go
@@ -60,6 +60,17 @@
 	return total
 }
 
+// within returns the number of requests of a time up to now that is shorter than the window, rounded up to whole bins.
+func (c *counts) within(d time.Duration, now time.Time) int {
+	skipped := max(int(now.Sub(c.at)/binWidth), 0)
+	bins := int(d/binWidth) + 1 - skipped
+	total := 0
+	for _, count := range c.bins[:max(min(bins, binCount), 0)] {
+		total += count
+	}
+	return total
+}
+
 // recent returns the bins as of now for a message.
 func (c *counts) recent(now time.Time) []int {
 	c.advance(now)
