ratelimit: a refused connection makes an endpoint cold until it is listed again

Cause: a process that restarts under its address gets all requests until its new entry is read, up to some seconds later. Change: upstream reports refused connections; the limiter takes the endpoint for cold, tells the home, which tells all VMs. A later entry of the same incarnation ends that.

--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -148,6 +148,9 @@
 		OnResponse: func(target upstream.Target, info dialect.ResponseInfo, sent time.Time) {
 			limits.Observe(roster.Incarnation{ID: target.ID, Started: target.Started}, info, sent)
 		},
+		OnRefused: func(target upstream.Target) {
+			limits.Refused(roster.Incarnation{ID: target.ID, Started: target.Started})
+		},
 	})}
 }
 
--- a/pkg/ratelimit/cold.go
+++ b/pkg/ratelimit/cold.go
@@ -41,11 +41,12 @@
 
 // Sources of a cold time in logs, other than sourceResponse and VMs.
 const (
-	// sourceStart says that a new incarnation was listed, sourceEntry that an entry of the list states the time, and
-	// sourceCaller that TreatAsCold was called.
-	sourceStart  = "start"
-	sourceEntry  = "entry"
-	sourceCaller = "returned"
+	// sourceStart says that a new incarnation was listed, sourceEntry that an entry of the list states the time,
+	// sourceCaller that TreatAsCold was called, and sourceRefused that the endpoint's host refused a connection.
+	sourceStart   = "start"
+	sourceEntry   = "entry"
+	sourceCaller  = "returned"
+	sourceRefused = "refused"
 )
 
 // ColdLimit is the limit of the cold endpoints of a group.
@@ -56,6 +57,14 @@
 	Duration time.Duration
 }
 
+// duration returns how long an endpoint is taken to be cold that has not said how long it is.
+func (c ColdLimit) duration() time.Duration {
+	if c.Duration <= 0 {
+		return defaultColdDuration
+	}
+	return min(c.Duration, maxCold)
+}
+
 // coldStatement says until when an endpoint is cold.
 type coldStatement struct {
 	started int64
@@ -195,11 +204,7 @@
 		l.learnCold(e.ID, s, limit.Rate, sourceEntry)
 		return
 	}
-	duration := limit.Duration
-	if duration <= 0 {
-		duration = defaultColdDuration
-	}
-	s.until = now.Add(min(duration, maxCold))
+	s.until = now.Add(limit.duration())
 	l.learnCold(e.ID, s, limit.Rate, sourceStart)
 }
 
@@ -222,6 +227,21 @@
 	}
 }
 
+// Refused records that the host of an endpoint has refused a connection. The process has ended, and a new one that is not
+// listed yet may take requests at the same address: the endpoint is cold until a statement that is certain to be newer says
+// otherwise. An entry of the same incarnation does if the process still runs.
+func (l *Limiter) Refused(id roster.Incarnation) {
+	now := time.Now()
+	l.mu.Lock()
+	limit := l.coldLimit(id.ID)
+	s := coldStatement{started: id.Started, until: now.Add(limit.duration()), sent: now, received: now}
+	changed := l.learnCold(id.ID, s, limit.Rate, sourceRefused)
+	l.mu.Unlock()
+	if changed {
+		go l.reportToHome(id.ID)
+	}
+}
+
 // observeCold records what a response says about the cold time of an endpoint.
 func (l *Limiter) observeCold(id roster.Incarnation, info dialect.ResponseInfo, sent time.Time) {
 	if info.ColdText != "" {
@@ -235,31 +255,20 @@
 	now := time.Now()
 	s := coldStatement{started: id.Started, until: now.Add(min(info.ColdLeft, maxCold)), sent: sent, received: now}
 	l.mu.Lock()
-	changed := l.learnCold(id.ID, s, l.coldRate(id.ID), sourceResponse)
-	known := l.endpoints[id.ID]
-	var stated statement
-	if known != nil {
-		stated = known.stated
-	}
+	changed := l.learnCold(id.ID, s, l.coldLimit(id.ID).Rate, sourceResponse)
 	l.mu.Unlock()
 	if changed {
-		go l.reportToHome(id.ID, stated)
+		go l.reportToHome(id.ID)
 	}
 }
 
-// coldRate returns the rate of a listed endpoint while it is cold; 0 if there is none. l.mu is held.
-func (l *Limiter) coldRate(id string) float64 {
-	if e := l.endpoints[id]; e != nil && e.cold.rate > 0 {
-		return e.cold.rate
-	}
+// coldLimit returns the limit of a listed endpoint while it is cold; its rate is 0 if there is none. l.mu is held.
+func (l *Limiter) coldLimit(id string) ColdLimit {
 	if l.cfg.Cold == nil || l.cfg.GroupOf == nil {
-		return 0
-	}
-	group, ok := l.cfg.GroupOf(id)
-	if !ok {
-		return 0
+		return ColdLimit{}
 	}
-	return l.cfg.Cold()[group].Rate
+	group, _ := l.cfg.GroupOf(id)
+	return l.cfg.Cold()[group]
 }
 
 // learnCold records a statement about a cold time unless the known one counts. rate is the rate of requests while the
--- a/pkg/ratelimit/cold_test.go
+++ b/pkg/ratelimit/cold_test.go
@@ -35,6 +35,10 @@
 // writeEntry has the endpoint write its entry. VMs get it at different times; the home reads it itself.
 func (f *fleet) writeEntry() {
 	f.mu.Lock()
+	if f.down {
+		f.mu.Unlock()
+		return
+	}
 	now := time.Now()
 	f.entry.Incarnation, f.entry.Group = f.endpoint, "g"
 	f.entry.Cold = roster.Cold{Stated: true, Left: max(f.coldUntil.Sub(now), 0), Version: f.entry.Cold.Version + 1}
@@ -161,6 +165,39 @@
 	}
 }
 
+// A process that takes the place of one that has ended gets requests before its entry is read. VMs whose connections were
+// refused must limit them, and so must those that had no request for it.
+func TestRestartThatIsNotListedYet(t *testing.T) {
+	for _, vms := range []int{1, 7, 80, 195} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			inColdFleet(t, vms, func(f *fleet, interval time.Duration) {
+				f.run(interval, 2*time.Second)
+				f.set(func() { f.down, f.answersToAll = true, true })
+				// Only the first VM notices that the endpoint has ended.
+				f.sends.Go(func() { f.send(0) })
+				time.Sleep(500 * time.Millisecond)
+				f.restart(12 * time.Second)
+				f.set(func() { f.down = false })
+				restarted := time.Now()
+				f.run(interval, 12*time.Second)
+				f.requireColdRule(restarted, testColdRate)
+				require.GreaterOrEqual(t, f.count(restarted.Add(3*time.Second), 8*time.Second), 8*testColdRate*8/10)
+			})
+		})
+	}
+}
+
+// A refused connection to an endpoint that still runs limits it only until its next entries.
+func TestRefusedConnectionOfARunningEndpoint(t *testing.T) {
+	inColdFleet(t, 7, func(f *fleet, interval time.Duration) {
+		f.vms[3].limiter.Refused(f.endpoint)
+		refused := time.Now()
+		f.run(interval, 6*time.Second)
+		require.LessOrEqual(t, f.count(refused, time.Second), 35)
+		require.GreaterOrEqual(t, f.count(refused.Add(2*heartbeat+2*listDelay), 300*time.Millisecond), 100)
+	})
+}
+
 // An endpoint whose first entry says that it is not cold may not know yet. It gets all requests once a later entry says so,
 // and at once if the whole deployment starts for the first time.
 func TestFirstEntryOfANewEndpoint(t *testing.T) {
--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -63,6 +63,9 @@
 	// entry is the endpoint's entry in the list, and coldUntil until when the endpoint is cold.
 	entry     roster.Endpoint
 	coldUntil time.Time
+	// down says that no process listens at the endpoint's address, answersToAll that its process takes requests that are
+	// addressed to an earlier incarnation.
+	down, answersToAll bool
 }
 
 // simVM is a VM of a fleet. It implements lease.View, Fleet and peer.Client.
@@ -186,7 +189,12 @@
 	}
 	sent := time.Now()
 	f.mu.Lock()
-	if target != f.endpoint {
+	if f.down {
+		f.mu.Unlock()
+		limiter.Refused(target)
+		return
+	}
+	if target != f.endpoint && !f.answersToAll {
 		f.mu.Unlock()
 		return
 	}
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -177,7 +177,7 @@
 	changed := l.learn(id.ID, s, sourceResponse)
 	l.mu.Unlock()
 	if changed {
-		go l.reportToHome(id.ID, s)
+		go l.reportToHome(id.ID)
 	}
 }
 
@@ -236,8 +236,8 @@
 	}
 }
 
-// reportToHome reports to the home of an endpoint what a response to this VM has stated.
-func (l *Limiter) reportToHome(id string, s statement) {
+// reportToHome reports to the home of an endpoint what this VM has learned about the endpoint.
+func (l *Limiter) reportToHome(id string) {
 	holder, known := l.cfg.Leases.HolderOf(l.cfg.LeaseOf(id))
 	if !known || holder.VM == l.cfg.Self {
 		return
@@ -247,7 +247,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	e := l.endpoint(id)
-	args := &AnnounceArgs{VM: l.cfg.Self, Stated: s.message(id, now), Cold: e.cold.message(now), Recent: e.unasked.recent(now)}
+	args := &AnnounceArgs{VM: l.cfg.Self, Stated: e.stated.message(id, now), Cold: e.cold.message(now), Recent: e.unasked.recent(now)}
 	l.mu.Unlock()
 	if err := l.cfg.PeerClient.Call(ctx, holder.Address, announceMethod, args, &AnnounceReply{}); err != nil {
 		// The home learns of a limit when it is next asked, and of its end from a response to another VM.
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -77,6 +78,8 @@
 	// OnResponse is called with what the head of an endpoint's own response states. sent is when the request was
 	// sent.
 	OnResponse func(target Target, info dialect.ResponseInfo, sent time.Time)
+	// OnRefused is called when the host of an endpoint has refused a connection: no process listens at the address.
+	OnRefused func(Target)
 }
 
 // NewClient returns a Client that takes its connections from the pools.
@@ -92,6 +95,9 @@
 	if cn == nil {
 		var err error
 		if cn, err = c.pools.dial(ctx, target); err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) && c.events.OnRefused != nil {
+				c.events.OnRefused(target)
+			}
 			return nil, &Error{Err: err}
 		}
 		if c.events.OnDial != nil {
