--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -426,3 +426,25 @@
 		require.Equal(t, c.reported, reported, name)
 	}
 }
+
+// A refused connection shows that no process listens at the address. Other failures do not.
+func TestRefusedConnectionsAreReported(t *testing.T) {
+	var refused []Target
+	client := newClient(t)
+	client.events.OnRefused = func(target Target) { refused = append(refused, target) }
+
+	listening := listen(t, func(_ *endpoint, c net.Conn, _ *bufio.Reader) { _ = c.Close() })
+	_, err := client.Send(t.Context(), listening.target(), request("1"))
+	require.Error(t, err)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = client.Send(ended, listening.target(), request("2"))
+	require.Error(t, err)
+	require.Empty(t, refused)
+
+	gone := listening.target()
+	require.NoError(t, listening.listener.Close())
+	_, err = client.Send(t.Context(), gone, request("3"))
+	require.Error(t, err)
+	require.Equal(t, []Target{gone}, refused)
+}
