--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -223,6 +223,14 @@
 	}
 }
 
+// ReportOwn reports what the head of the response states, for code that knows from the response that it is the endpoint's own
+// although it does not name the request.
+func (a *Response) ReportOwn() {
+	if a.Info.RequestID == "" && !a.Info.Misdirected && a.client.events.OnResponse != nil {
+		a.client.events.OnResponse(a.target, a.Info, a.sent)
+	}
+}
+
 // discardStray reads the body of a stray response to its end, so that the next response can be read.
 func discardStray(resp *http.Response) error {
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
