ratelimit: VMs with an outdated list take lost connections for a restart

Cause: a VM that is cut off from the list, and had no request for an endpoint while it restarted, would send without limit to the new process. Change: upstream reports connections that an endpoint closes. A VM whose list is older than 3 s takes the endpoint for cold then; other VMs ignore them. Result: TestConnectionLostWhileTheListIsStale and TestLostConnectionsAreReported pass (three times with the race detector).

--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -129,7 +129,7 @@
 func newRateLimiter(s Settings, bg background, id identity, view *fleetView, coord coordination, pp peers, registry metrics.Registry, log logrus.FieldLogger) *ratelimit.Limiter {
 	return ratelimit.New(bg, ratelimit.Config{
 		Self: id.vm, Leases: coord.stewards, LeaseOf: orders.LeaseOf, Fleet: coord.stewards, FleetSize: coord.stewards.vmCount,
-		PeerClient: pp.pool, Cold: view.coldLimits, GroupOf: view.groupOf, ColdBounds: ratelimit.ColdBounds(s.Bounds.Cold),
+		PeerClient: pp.pool, Cold: view.coldLimits, GroupOf: view.groupOf, ListAge: view.endpointsAge, ColdBounds: ratelimit.ColdBounds(s.Bounds.Cold),
 		FirstStart: s.FirstStart, Metrics: registry, Log: log,
 	})
 }
@@ -151,6 +151,9 @@
 		OnRefused: func(target upstream.Target) {
 			limits.Refused(roster.Incarnation{ID: target.ID, Started: target.Started})
 		},
+		OnConnectionLost: func(target upstream.Target) {
+			limits.ConnectionLost(roster.Incarnation{ID: target.ID, Started: target.Started})
+		},
 	})}
 }
 
--- a/pkg/ratelimit/cold.go
+++ b/pkg/ratelimit/cold.go
@@ -26,6 +26,9 @@
 	// coldAnnouncePeriod is how long a cold time that did not begin with a start is announced to other VMs. After that
 	// they have it from their list of endpoints.
 	coldAnnouncePeriod = 1500 * time.Millisecond
+	// maxListAge is the age of the list of endpoints from which on it may lack a restart of some seconds ago: entries take
+	// about 2.6 s from the endpoint to all VMs.
+	maxListAge = 3 * time.Second
 	// coldRetention is how long the end of a cold time is remembered: until then, another VM may still pass on that the
 	// endpoint is cold.
 	coldRetention = time.Minute
@@ -47,6 +50,8 @@
 	sourceEntry   = "entry"
 	sourceCaller  = "returned"
 	sourceRefused = "refused"
+	// sourceLost says that the endpoint closed a connection while the list was out of date.
+	sourceLost = "connection_lost"
 )
 
 // ColdLimit is the limit of the cold endpoints of a group.
@@ -230,12 +235,23 @@
 // Refused records that the host of an endpoint has refused a connection. The process has ended, and a new one that is not
 // listed yet may take requests at the same address: the endpoint is cold until a statement that is certain to be newer says
 // otherwise. An entry of the same incarnation does if the process still runs.
-func (l *Limiter) Refused(id roster.Incarnation) {
+func (l *Limiter) Refused(id roster.Incarnation) { l.mayHaveRestarted(id, sourceRefused) }
+
+// ConnectionLost records that an endpoint has closed a connection. Endpoints that run may do that. It shows a restart only to
+// VMs whose list of endpoints is out of date, since these learn of restarts in no other way.
+func (l *Limiter) ConnectionLost(id roster.Incarnation) {
+	if l.cfg.ListAge != nil && l.cfg.ListAge() > maxListAge {
+		l.mayHaveRestarted(id, sourceLost)
+	}
+}
+
+// mayHaveRestarted treats an endpoint as cold because an incarnation that is not listed yet may have taken its place.
+func (l *Limiter) mayHaveRestarted(id roster.Incarnation, source string) {
 	now := time.Now()
 	l.mu.Lock()
 	limit := l.coldLimit(id.ID)
 	s := coldStatement{started: id.Started, until: now.Add(limit.duration()), sent: now, received: now}
-	changed := l.learnCold(id.ID, s, limit.Rate, sourceRefused)
+	changed := l.learnCold(id.ID, s, limit.Rate, source)
 	l.mu.Unlock()
 	if changed {
 		go l.reportToHome(id.ID)
--- a/pkg/ratelimit/cold_test.go
+++ b/pkg/ratelimit/cold_test.go
@@ -198,6 +198,23 @@
 	})
 }
 
+// A VM that is cut off from the list learns of a restart only from connections that the endpoint has lost. With a list that is
+// up to date, a lost connection says nothing.
+func TestConnectionLostWhileTheListIsStale(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.set(func() { f.cold, f.home = ColdLimit{Rate: testColdRate, Duration: 8 * time.Second}, -1 })
+		l, age := f.vms[1].limiter, time.Second
+		l.cfg.ListAge = func() time.Duration { return age }
+		l.ConnectionLost(f.endpoint)
+		require.Empty(t, l.Take(f.endpoint).By)
+		age = 5 * time.Second
+		l.ConnectionLost(f.endpoint)
+		require.Equal(t, ByShare, l.Take(f.endpoint).By)
+		time.Sleep(8 * time.Second)
+		require.Empty(t, l.Take(f.endpoint).By)
+	})
+}
+
 // An endpoint whose first entry says that it is not cold may not know yet. It gets all requests once a later entry says so,
 // and at once if the whole deployment starts for the first time.
 func TestFirstEntryOfANewEndpoint(t *testing.T) {
--- a/pkg/ratelimit/limiter.go
+++ b/pkg/ratelimit/limiter.go
@@ -63,6 +63,8 @@
 	// listed endpoint. Without these functions no endpoint is cold.
 	Cold    func() map[string]ColdLimit
 	GroupOf func(endpoint string) (string, bool)
+	// ListAge returns how old the list of endpoints may be; nil if it is always current.
+	ListAge func() time.Duration
 	// ColdBounds set how many requests a cold endpoint may get within a second.
 	ColdBounds ColdBounds
 	// FirstStart says that the whole deployment starts for the first time.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -102,6 +102,12 @@
 	return c.noPendingInput()
 }
 
+// closedEarly reports whether something has arrived on the idle connection, usually its end, before the endpoint said that it
+// would close it.
+func (c *conn) closedEarly(now time.Time) bool {
+	return (c.keepAliveUntil.IsZero() || now.Before(c.keepAliveUntil)) && !c.noPendingInput()
+}
+
 // noPendingInput reports whether nothing has arrived on the idle connection: neither bytes that belong to no
 // request nor the end of the connection.
 func (c *conn) noPendingInput() bool {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -37,6 +37,8 @@
 // Pools holds the idle connections to all endpoints. It is safe for concurrent use.
 type Pools struct {
 	dialTimeout, idleTimeout time.Duration
+	// onLost is Events.OnConnectionLost of the client that uses the pools; nil for none.
+	onLost func(Target)
 
 	mu    sync.Mutex
 	pools map[Target]*pool // guarded by mu
@@ -55,6 +57,9 @@
 		if c == nil || now.Sub(c.idleSince) < p.idleTimeout && c.reusable(now) {
 			return c
 		}
+		if p.onLost != nil && now.Sub(c.idleSince) < p.idleTimeout && c.closedEarly(now) {
+			p.onLost(target)
+		}
 		_ = c.Close()
 	}
 }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -80,10 +80,14 @@
 	OnResponse func(target Target, info dialect.ResponseInfo, sent time.Time)
 	// OnRefused is called when the host of an endpoint has refused a connection: no process listens at the address.
 	OnRefused func(Target)
+	// OnConnectionLost is called when an endpoint has closed or reset a connection before the head of a response, or an
+	// idle connection before it said that it would. The process may have ended.
+	OnConnectionLost func(Target)
 }
 
 // NewClient returns a Client that takes its connections from the pools.
 func NewClient(pools *Pools, d dialect.Dialect, events Events) *Client {
+	pools.onLost = events.OnConnectionLost
 	return &Client{pools: pools, dialect: d, events: events}
 }
 
@@ -116,6 +120,9 @@
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
 	if err := a.readHead(req); err != nil {
+		if ctx.Err() == nil && ConnectionClosed(err) && c.events.OnConnectionLost != nil {
+			c.events.OnConnectionLost(target)
+		}
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -97,10 +97,12 @@
 	return itoa(n/10) + itoa(n%10)
 }
 
-func newClient(t *testing.T) *Client {
+func newClient(t *testing.T) *Client { return newClientWith(t, Events{}) }
+
+func newClientWith(t *testing.T, events Events) *Client {
 	pools := NewPools()
 	t.Cleanup(pools.Close)
-	return NewClient(pools, testDialect{}, Events{})
+	return NewClient(pools, testDialect{}, events)
 }
 
 func request(id string) Request {
@@ -430,8 +432,7 @@
 // A refused connection shows that no process listens at the address. Other failures do not.
 func TestRefusedConnectionsAreReported(t *testing.T) {
 	var refused []Target
-	client := newClient(t)
-	client.events.OnRefused = func(target Target) { refused = append(refused, target) }
+	client := newClientWith(t, Events{OnRefused: func(target Target) { refused = append(refused, target) }})
 
 	listening := listen(t, func(_ *endpoint, c net.Conn, _ *bufio.Reader) { _ = c.Close() })
 	_, err := client.Send(t.Context(), listening.target(), request("1"))
@@ -448,3 +449,49 @@
 	require.Error(t, err)
 	require.Equal(t, []Target{gone}, refused)
 }
+
+// Connections that the endpoint closes are reported: in the middle of an exchange, and while they are idle. Idle connections that
+// the endpoint has said it would close, or that this side has kept for too long, are not.
+func TestLostConnectionsAreReported(t *testing.T) {
+	var lost []Target
+	client := newClientWith(t, Events{OnConnectionLost: func(target Target) { lost = append(lost, target) }})
+	closes := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+		e.read(r)
+		_ = c.Close()
+	})
+	_, err := client.Send(t.Context(), closes.target(), request("1"))
+	require.Error(t, err)
+	require.Equal(t, []Target{closes.target()}, lost)
+
+	ends := make(chan struct{})
+	once := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+		id, _, _ := e.read(r)
+		_, _ = io.WriteString(c, response(id, "x"))
+		<-ends
+		_ = c.Close()
+	})
+	idle := func() *conn {
+		a, err := client.Send(t.Context(), once.target(), request("1"))
+		require.NoError(t, err)
+		require.Equal(t, "x", readAll(t, a))
+		c := client.pools.pop(once.target(), time.Now())
+		require.NotNil(t, c)
+		ends <- struct{}{}
+		require.Eventually(t, func() bool { return !c.noPendingInput() }, 5*time.Second, time.Millisecond)
+		return c
+	}
+	for _, closedAsAnnounced := range []bool{false, true} {
+		lost = nil
+		c := idle()
+		if closedAsAnnounced {
+			c.keepAliveUntil = time.Now().Add(-time.Millisecond)
+		}
+		client.pools.put(once.target(), c, time.Now())
+		require.Nil(t, client.pools.take(once.target(), time.Now()))
+		require.Equal(t, !closedAsAnnounced, len(lost) == 1)
+	}
+	lost = nil
+	client.pools.put(once.target(), idle(), time.Now())
+	require.Nil(t, client.pools.take(once.target(), time.Now().Add(DefaultIdleTimeout)))
+	require.Empty(t, lost)
+}
