--- a/pkg/ratelimit/cold_test.go
+++ b/pkg/ratelimit/cold_test.go
@@ -62,6 +62,7 @@
 func (f *fleet) deliver(index int) {
 	f.mu.Lock()
 	v, e, steward := f.vms[index], f.entry, f.home == index
+	limiter := v.limiter
 	f.mu.Unlock()
 	if !steward {
 		if e.Cold.Left == 0 {
@@ -72,7 +73,7 @@
 		e = roster.Endpoint{}
 		require.NoError(f.t, json.Unmarshal(data, &e))
 	}
-	v.limiter.Listed([]roster.Endpoint{e}, time.Now().Add(-10*time.Millisecond))
+	limiter.Listed([]roster.Endpoint{e}, time.Now().Add(-10*time.Millisecond))
 	f.set(func() { v.target = &e.Incarnation })
 }
 
@@ -273,7 +274,7 @@
 		},
 		"home moves": func(f *fleet, step int) { f.set(func() { f.home = step % len(f.vms) }) },
 		"VMs restart": func(f *fleet, step int) {
-			for i := step; i < len(f.vms); i += 4 {
+			for i := step % 4; i < len(f.vms); i += 4 {
 				f.start(i, len(f.vms))
 				f.deliver(i)
 			}
--- a/pkg/ratelimit/fleet_test.go
+++ b/pkg/ratelimit/fleet_test.go
@@ -72,9 +72,8 @@
 type simVM struct {
 	f     *fleet
 	index int
-	// incarnation counts the starts of its process, knownVMs is the number of VMs that it knows.
+	// incarnation counts the starts of its process.
 	incarnation int
-	knownVMs    int
 	// target is the incarnation of the endpoint that the VM's list contains; that of the fleet if it has none.
 	target  *roster.Incarnation
 	limiter *Limiter
@@ -100,9 +99,9 @@
 	log, _ := test.NewNullLogger()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v.incarnation, v.knownVMs, v.stop = v.incarnation+1, knownVMs, stop
+	v.incarnation, v.stop = v.incarnation+1, stop
 	v.limiter = New(ctx, Config{
-		Self: vmName(index), Leases: v, LeaseOf: func(string) string { return "lease" }, Fleet: v, FleetSize: func() int { return v.knownVMs },
+		Self: vmName(index), Leases: v, LeaseOf: func(string) string { return "lease" }, Fleet: v, FleetSize: func() int { return knownVMs },
 		PeerClient: v, Metrics: metrics.NewRegistry(), Log: log,
 		Cold: f.coldLimits, GroupOf: func(string) (string, bool) { return "g", true }, ColdBounds: testBounds, FirstStart: f.firstStart,
 	})
