Merge cold endpoints with evacuated failure domains

Cause: both parts change the endpoint list, its wiring and the settings. Change: both sides kept; endpoints of a domain that returns to service are treated as cold by the limiter. Result: tests of the packages of both parts pass.

--- a/pkg/gatewayd/evacuation.go
+++ b/pkg/gatewayd/evacuation.go
@@ -61,7 +61,7 @@
 	v.logEvacuations(change, old)
 	if restored := endpointsIn(old, change.Restored); len(restored) > 0 {
 		// Before the endpoints get requests again, because they may be cold.
-		v.OnRestored(restored)
+		v.onRestored(restored)
 	}
 	v.setEndpoints(old, slices.Clone(old.All()))
 	return true
--- a/pkg/gatewayd/evacuation_test.go
+++ b/pkg/gatewayd/evacuation_test.go
@@ -164,7 +164,7 @@
 
 // addEndpoints gives the VM's view two endpoints in different failure domains.
 func (f *evacuationFleet) addEndpoints(vm *evacuationVM) {
-	vm.OnRestored = func(list []roster.Endpoint) { vm.restored = append(vm.restored, ids(list)...) }
+	vm.onRestored = func(list []roster.Endpoint) { vm.restored = append(vm.restored, ids(list)...) }
 	vm.applyEndpoints(domainEndpoints(), 1, time.Now())
 }
 
@@ -371,7 +371,7 @@
 	require.False(t, v.accepts("c"))
 	require.True(t, v.accepts("b"))
 
-	v.OnRestored = func(list []roster.Endpoint) {
+	v.onRestored = func(list []roster.Endpoint) {
 		require.Equal(t, []string{"a"}, ids(list))
 		require.False(t, v.accepts("a"))
 	}
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -126,10 +126,11 @@
 )
 
 // newRateLimiter returns the limiter of the requests to endpoints. The owner of an engine is also the home of its limit.
-func newRateLimiter(bg background, id identity, coord coordination, pp peers, registry metrics.Registry, log logrus.FieldLogger) *ratelimit.Limiter {
+func newRateLimiter(s Settings, bg background, id identity, view *fleetView, coord coordination, pp peers, registry metrics.Registry, log logrus.FieldLogger) *ratelimit.Limiter {
 	return ratelimit.New(bg, ratelimit.Config{
 		Self: id.vm, Leases: coord.stewards, LeaseOf: orders.LeaseOf, Fleet: coord.stewards, FleetSize: coord.stewards.vmCount,
-		PeerClient: pp.pool, Metrics: registry, Log: log,
+		PeerClient: pp.pool, Cold: view.coldLimits, GroupOf: view.groupOf, ListAge: view.endpointsAge, ColdBounds: ratelimit.ColdBounds(s.Bounds.Cold),
+		FirstStart: s.FirstStart, Metrics: registry, Log: log,
 	})
 }
 
@@ -156,6 +157,12 @@
 		OnResponse: func(target upstream.Target, info dialect.ResponseInfo, sent time.Time) {
 			limits.Observe(roster.Incarnation{ID: target.ID, Started: target.Started}, info, sent)
 		},
+		OnRefused: func(target upstream.Target) {
+			limits.Refused(roster.Incarnation{ID: target.ID, Started: target.Started})
+		},
+		OnConnectionLost: func(target upstream.Target) {
+			limits.ConnectionLost(roster.Incarnation{ID: target.ID, Started: target.Started})
+		},
 	})}
 }
 
@@ -466,12 +473,30 @@
 	return w
 }
 
+// entryDelay is how much later than its cold time ends an endpoint may be known to be warm: its entry is written in intervals of
+// about a second, and passed on from VM to VM.
+const entryDelay = 3 * time.Second
+
+// treatAsCold limits the requests to endpoints whose failure domain has returned to service: they may have become cold while
+// nothing was sent there.
+func treatAsCold(limits *ratelimit.Limiter, cold map[string]ratelimit.ColdLimit, endpoints []roster.Endpoint) {
+	byGroup := map[string][]roster.Endpoint{}
+	for _, e := range endpoints {
+		byGroup[e.Group] = append(byGroup[e.Group], e)
+	}
+	for group, list := range byGroup {
+		limits.TreatAsCold(list, cold[group].Rate, cold[group].Duration+entryDelay)
+	}
+}
+
 // connectComponents sets the callbacks that cannot be passed to constructors, because the components depend on
 // each other: gained and lost leases are forwarded to every component that acts under leases, changes of the
 // fleet view to the orders and the leases, and changes of the membership to the leases.
-func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, l *liveSettings, p *process) {
+func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, limits *ratelimit.Limiter, l *liveSettings, p *process) {
 	view.evacuateWithin = func() time.Duration { return l.bounds().evacuateWithin() }
 	view.onEndpointRead = d.RecordLoaded
+	view.onEndpoints = limits.Listed
+	view.onRestored = func(endpoints []roster.Endpoint) { treatAsCold(limits, view.coldLimits(), endpoints) }
 	coord.leaseListeners.listeners = []lease.Listener{o, a.home}
 	coord.leaseListeners.note = a.home.Note
 	coord.members.SetStatus(func() membership.Status {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -83,10 +84,16 @@
 	// OnResponse is called with what the head of an endpoint's own response states. sent is when the request was
 	// sent.
 	OnResponse func(target Target, info dialect.ResponseInfo, sent time.Time)
+	// OnRefused is called when the host of an endpoint has refused a connection: no process listens at the address.
+	OnRefused func(Target)
+	// OnConnectionLost is called when an endpoint has closed or reset a connection before the head of a response, or an
+	// idle connection before it said that it would. The process may have ended.
+	OnConnectionLost func(Target)
 }
 
 // NewClient returns a Client that takes its connections from the pools.
 func NewClient(pools *Pools, d dialect.Dialect, events Events) *Client {
+	pools.onLost = events.OnConnectionLost
 	return &Client{pools: pools, dialect: d, events: events}
 }
 
@@ -101,6 +108,9 @@
 	if cn == nil {
 		var err error
 		if cn, err = c.pools.dial(ctx, target); err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) && c.events.OnRefused != nil {
+				c.events.OnRefused(target)
+			}
 			return nil, &Error{Err: err}
 		}
 		if c.events.OnDial != nil {
@@ -134,6 +144,9 @@
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
 	if err := a.readHead(req); err != nil {
+		if ctx.Err() == nil && ConnectionClosed(err) && c.events.OnConnectionLost != nil {
+			c.events.OnConnectionLost(target)
+		}
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
@@ -241,6 +254,14 @@
 	}
 }
 
+// ReportOwn reports what the head of the response states, for code that knows from the response that it is the endpoint's own
+// although it does not name the request.
+func (a *Response) ReportOwn() {
+	if a.Info.RequestID == "" && !a.Info.Misdirected && a.client.events.OnResponse != nil {
+		a.client.events.OnResponse(a.target, a.Info, a.sent)
+	}
+}
+
 // discardStray reads the body of a stray response to its end, so that the next response can be read.
 func discardStray(resp *http.Response) error {
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
