Evacuation: a group without evacuated endpoints costs nothing more to place

The dispatcher looked through all endpoints of a group for each request. The view of the endpoints now knows which groups have evacuated ones. pkg/roster, pkg/dispatch and platform pass with -race.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -123,7 +123,7 @@
 // tryPlace returns a placement for the request, or errOverLimit if the chosen endpoint has no room.
 func (d *Dispatcher) tryPlace(ctx context.Context, req gateway.Request) (gateway.Placement, error) {
 	now := time.Now()
-	outside, leaving := splitEvacuating(d.group(req), now)
+	outside, leaving := splitEvacuating(d.cfg.Roster.View(), req.Group.Name, now)
 	candidates := d.cfg.Limits.Unblocked(d.health.candidates(outside, req.Exclude, now), now)
 	if len(candidates) == 0 {
 		if len(outside) == 0 && len(d.group(req)) > 0 {
--- a/pkg/dispatch/evacuation.go
+++ b/pkg/dispatch/evacuation.go
@@ -21,11 +21,11 @@
 
 // splitEvacuating divides the endpoints of a group into those outside evacuated failure domains, and those inside that may still
 // get requests for adapters that are not held outside.
-func splitEvacuating(group []roster.Endpoint, now time.Time) (outside, leaving []roster.Endpoint) {
-	if !slices.ContainsFunc(group, roster.Endpoint.Evacuating) {
-		return group, nil
+func splitEvacuating(view *roster.View, group string, now time.Time) (outside, leaving []roster.Endpoint) {
+	if !view.Evacuating(group) {
+		return view.Group(group), nil
 	}
-	for _, e := range group {
+	for _, e := range view.Group(group) {
 		switch {
 		case !e.Evacuating():
 			outside = append(outside, e)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -62,17 +62,22 @@
 	byID   map[string]Endpoint
 	groups map[string][]Endpoint
 	all    []Endpoint
+	// evacuating holds the groups that have endpoints in evacuated failure domains.
+	evacuating map[string]bool
 }
 
 // NewView returns a View of the endpoints. It does not change or keep the slice.
 func NewView(endpoints []Endpoint) *View {
-	v := &View{byID: make(map[string]Endpoint, len(endpoints)), groups: map[string][]Endpoint{}}
+	v := &View{byID: make(map[string]Endpoint, len(endpoints)), groups: map[string][]Endpoint{}, evacuating: map[string]bool{}}
 	sorted := slices.Clone(endpoints)
 	v.all = sorted
 	slices.SortFunc(sorted, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	for _, e := range sorted {
 		v.byID[e.ID] = e
 		v.groups[e.Group] = append(v.groups[e.Group], e)
+		if e.Evacuating() {
+			v.evacuating[e.Group] = true
+		}
 	}
 	return v
 }
@@ -86,6 +91,9 @@
 // Group returns the endpoints of a group, sorted by ID. The returned slice must not be modified.
 func (v *View) Group(name string) []Endpoint { return v.groups[name] }
 
+// Evacuating reports whether an endpoint of a group is in an evacuated failure domain.
+func (v *View) Evacuating(group string) bool { return v.evacuating[group] }
+
 // All returns every endpoint, sorted by ID. The returned slice must not be modified.
 func (v *View) All() []Endpoint { return v.all }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -24,3 +26,26 @@
 	require.True(t, ok)
 	require.Equal(t, "h", e.Group)
 }
+
+// Guards against endpoints that get requests although their failure domain is evacuated, or none before the time to move work is
+// over, and against a mark that one VM passes on to others.
+func TestEvacuatedEndpoint(t *testing.T) {
+	from := time.Unix(1_700_000_000, 0)
+	before := from.Add(-1)
+	var e Endpoint
+	require.True(t, e.AcceptsRequests(from))
+	require.False(t, e.Evacuating())
+	e.EvacuatedFrom = from
+	require.True(t, e.Evacuating())
+	require.True(t, e.AcceptsRequests(before))
+	require.False(t, e.AcceptsRequests(from))
+	require.True(t, e.Evacuated(from))
+	require.False(t, Endpoint{Draining: true}.AcceptsRequests(from))
+	e.Group = "g"
+	v := NewView([]Endpoint{e, {Group: "other"}})
+	require.True(t, v.Evacuating("g"))
+	require.False(t, v.Evacuating("other"))
+	data, err := json.Marshal(e)
+	require.NoError(t, err)
+	require.NotContains(t, string(data), "Evacuated")
+}
