Evacuation: rows and their position are published in one step

A VM that polled between the two took the new rows for read at the old position, and logged that. Replace now sets the position with the rows, and the logs state the store's own counter as the version. pkg/gatewayd, pkg/relay, platform and docs pass with -race.

--- a/pkg/gatewayd/evacuation.go
+++ b/pkg/gatewayd/evacuation.go
@@ -10,6 +10,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/evacuation"
+	"github.com/mallowlink/mallowlink/pkg/platform"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
@@ -82,7 +83,7 @@
 	for _, d := range c.Emptied {
 		endpoints := len(endpointsIn(view, []evacuation.Domain{d}))
 		entry := v.log.WithFields(logrus.Fields{
-			"event": "failure_domain_emptied", "domain": d.Name, "version": d.Position, "endpoints": endpoints,
+			"event": "failure_domain_emptied", "domain": d.Name, "version": platform.CounterOf(d.Position), "endpoints": endpoints,
 			"nothing_sent_after": d.From.Sub(d.Since).Round(time.Millisecond),
 		})
 		if endpoints == 0 && view.Len() > 0 {
@@ -93,7 +94,7 @@
 	}
 	for _, d := range c.Restored {
 		v.log.WithFields(logrus.Fields{
-			"event": "failure_domain_restored", "domain": d.Name, "version": v.evacuationPosition(),
+			"event": "failure_domain_restored", "domain": d.Name, "version": platform.CounterOf(v.evacuationPosition()),
 			"endpoints": len(endpointsIn(view, []evacuation.Domain{d})), "evacuated_for": time.Since(d.Since).Round(time.Millisecond),
 		}).Info("evacuation of a failure domain ended")
 	}
--- a/pkg/gatewayd/evacuation_test.go
+++ b/pkg/gatewayd/evacuation_test.go
@@ -217,6 +217,7 @@
 		for i, vm := range vms {
 			e, _ := vm.roster.View().Endpoint("a")
 			require.True(t, e.Evacuating(), "VM %d moves work away at once", i)
+			require.EqualValues(t, platform.VersionIn(1, 2), vm.evacuatedDomains()[0].Position, "VM %d", i)
 		}
 		f.requireEvacuated(false, vms...)
 		time.Sleep(evacuation.DefaultWithin - 500*time.Millisecond)
--- a/pkg/gatewayd/storereader.go
+++ b/pkg/gatewayd/storereader.go
@@ -151,14 +151,12 @@
 		keptEntries[key] = nil
 	}
 	r.updateLog.Replace(relay.Kept, keptEntries)
-	r.updateLog.Replace(relay.Operator, rows)
-	r.publishPosition(relay.Operator, position)
+	r.updateLog.Replace(relay.Operator, rows, positionEntry(relay.Operator, position))
 }
 
-// publishPosition publishes the position of the table from which the entries of a topic were read, after the entries: a VM that
-// receives them without the position takes them for older than they are, never for newer.
-func (r *storeReader) publishPosition(topic relay.Topic, position uint64) {
-	r.updateLog.Put(relay.Positions, string(topic), []byte(strconv.FormatUint(position, 10)))
+// positionEntry returns the entry with the position of the table from which the entries of a topic were read.
+func positionEntry(topic relay.Topic, position uint64) relay.Entry {
+	return relay.Entry{Topic: relay.Positions, Key: string(topic), Value: []byte(strconv.FormatUint(position, 10))}
 }
 
 func (r *storeReader) onEndpointRows(rows map[string]platform.Row, position uint64) {
@@ -203,8 +201,7 @@
 		}
 		values[list[i].ID] = data
 	}
-	r.updateLog.Replace(relay.Endpoints, values)
-	r.publishPosition(relay.Endpoints, r.endpointsPosition)
+	r.updateLog.Replace(relay.Endpoints, values, positionEntry(relay.Endpoints, r.endpointsPosition))
 	r.view.applyEndpoints(list, r.endpointsPosition, r.endpoints.Confirmed())
 }
 
--- a/pkg/relay/update_log.go
+++ b/pkg/relay/update_log.go
@@ -102,11 +102,14 @@
 	}
 }
 
-// Replace sets the entries of a topic to values and removes all others of the topic. A call of Since returns all of these changes
-// or none: a VM must not get the configuration without the evacuations that are in force.
-func (l *UpdateLog) Replace(topic Topic, values map[string][]byte) {
+// Replace sets the entries of a topic to values and removes all others of the topic, and sets the entries with. A call of Since
+// returns all of these changes or none: a VM must not get the configuration without the evacuations that are in force.
+func (l *UpdateLog) Replace(topic Topic, values map[string][]byte, with ...Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, e := range with {
+		l.put(e.Topic, e.Key, e.Value)
+	}
 	for key, value := range values {
 		l.put(topic, key, value)
 	}
