soak: endpoints that start again under load get their cold rate

Cause: an address may take the connections of an endpoint that has ended and end them, so that no connection is refused; and no test had real processes meet a cold endpoint. Change: upstream reports a new connection that ends without a response like a refused one. The stand-in endpoint states a cold time in its entry and health checks.

--- a/pkg/ratelimit/cold.go
+++ b/pkg/ratelimit/cold.go
@@ -232,7 +232,7 @@
 	}
 }
 
-// Refused records that the host of an endpoint has refused a connection. The process has ended, and a new one that is not
+// Refused records that an endpoint has refused a connection, or has ended a new one without a response. The process has ended, and a new one that is not
 // listed yet may take requests at the same address: the endpoint is cold until a statement that is certain to be newer says
 // otherwise. An entry of the same incarnation does if the process still runs.
 func (l *Limiter) Refused(id roster.Incarnation) { l.mayHaveRestarted(id, sourceRefused) }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -78,10 +78,11 @@
 	// OnResponse is called with what the head of an endpoint's own response states. sent is when the request was
 	// sent.
 	OnResponse func(target Target, info dialect.ResponseInfo, sent time.Time)
-	// OnRefused is called when the host of an endpoint has refused a connection: no process listens at the address.
+	// OnRefused is called when the host of an endpoint has refused a connection, or a new connection was closed or reset
+	// before it carried a response: no process serves the address, or it has just ended.
 	OnRefused func(Target)
-	// OnConnectionLost is called when an endpoint has closed or reset a connection before the head of a response, or an
-	// idle connection before it said that it would. The process may have ended.
+	// OnConnectionLost is called when an endpoint has closed or reset a connection that has carried responses: before the
+	// head of the next one, or idle before it said that it would. The process may have ended.
 	OnConnectionLost func(Target)
 }
 
@@ -116,19 +117,32 @@
 	a := &Response{client: c, target: target, conn: cn, sent: time.Now()}
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := writeRequest(cn, req); err != nil {
+		c.reportClosed(ctx, a, err)
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
 	if err := a.readHead(req); err != nil {
-		if ctx.Err() == nil && ConnectionClosed(err) && c.events.OnConnectionLost != nil {
-			c.events.OnConnectionLost(target)
-		}
+		c.reportClosed(ctx, a, err)
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
 	return a, nil
 }
 
+// reportClosed fires the event of a connection that the endpoint has closed before the head of a response.
+func (c *Client) reportClosed(ctx context.Context, a *Response, err error) {
+	if ctx.Err() != nil || !ConnectionClosed(err) {
+		return
+	}
+	event := c.events.OnConnectionLost
+	if !a.conn.used {
+		event = c.events.OnRefused
+	}
+	if event != nil {
+		event(a.target)
+	}
+}
+
 // cause returns the reason why ctx ended, if it has, and else err. When ctx ends, the connection is closed
 // and err says only that.
 func cause(ctx context.Context, err error) error {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -429,14 +429,28 @@
 	}
 }
 
-// A refused connection shows that no process listens at the address. Other failures do not.
+// A refused connection, and a new one that ends without a response, show that no process serves the address. Other failures do
+// not.
 func TestRefusedConnectionsAreReported(t *testing.T) {
 	var refused []Target
 	client := newClientWith(t, Events{OnRefused: func(target Target) { refused = append(refused, target) }})
 
-	listening := listen(t, func(_ *endpoint, c net.Conn, _ *bufio.Reader) { _ = c.Close() })
+	listening := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+		if id, _, _ := e.read(r); id == "served" {
+			_, _ = io.WriteString(c, response(id, "x"))
+			e.read(r)
+		}
+		_ = c.Close()
+	})
 	_, err := client.Send(t.Context(), listening.target(), request("1"))
 	require.Error(t, err)
+	require.Equal(t, []Target{listening.target()}, refused)
+	refused = nil
+	a, err := client.Send(t.Context(), listening.target(), request("served"))
+	require.NoError(t, err)
+	require.Equal(t, "x", readAll(t, a))
+	_, err = client.Send(t.Context(), listening.target(), request("2"))
+	require.Error(t, err)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = client.Send(ended, listening.target(), request("2"))
@@ -456,10 +470,15 @@
 	var lost []Target
 	client := newClientWith(t, Events{OnConnectionLost: func(target Target) { lost = append(lost, target) }})
 	closes := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+		id, _, _ := e.read(r)
+		_, _ = io.WriteString(c, response(id, "x"))
 		e.read(r)
 		_ = c.Close()
 	})
-	_, err := client.Send(t.Context(), closes.target(), request("1"))
+	a, err := client.Send(t.Context(), closes.target(), request("1"))
+	require.NoError(t, err)
+	require.Equal(t, "x", readAll(t, a))
+	_, err = client.Send(t.Context(), closes.target(), request("2"))
 	require.Error(t, err)
 	require.Equal(t, []Target{closes.target()}, lost)
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -85,6 +85,8 @@
 	faults   *faultLog
 	// accepting says that the addresses of endpoints that have ended go on taking connections.
 	accepting bool
+	// coldTime is how long endpoints that start again are cold.
+	coldTime time.Duration
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -193,7 +195,7 @@
 		Slots: 8, RunTime: 10 * time.Millisecond, HeartbeatInterval: heartbeat, CrashText: fatalMark, CrashPart: fatalPart, OnCrash: w.crashedByRequest,
 	}
 	if before != nil {
-		cfg.ID = before.ID()
+		cfg.ID, cfg.ColdTime = before.ID(), w.coldTime
 	}
 	if group == engineGroup {
 		cfg.Model, cfg.AdapterSlots, cfg.LoadTime, cfg.StreamEvents, cfg.EventInterval = modelName, places, loadTime, streamEvents, eventPause
