placement: move the decisions of dispatch and orders into a pure package

Cause: the choice of an engine, the estimate of its load and the choice of a plain service were spread over dispatch and orders, mixed with calls and logging, so that they could not be tested or compared with another logic by themselves. Change: pkg/placement holds them unchanged: a search that is told replies and times and returns the next step, the load of an engine with its prompt cache, homes and extra homes, the choice of a service, and the schedule of returns. The tests of moved code moved with it. Result: no change of behaviour intended; go test -race of pkg/placement, pkg/dispatch and pkg/orders passes.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
@@ -55,9 +56,9 @@
 	health    *healthTracker
 	owners    *ownerClient
 	locations *adapterLocations
-	hotKeys   *hotKeys
+	hotKeys   *placement.HotKeys
 	reports   *reportCache
-	returns   returnSchedule
+	returns   placement.ReturnSchedule
 }
 
 // New returns a Dispatcher.
@@ -66,7 +67,7 @@
 		cfg:       cfg,
 		health:    newHealthTracker(cfg.Metrics, cfg.Log),
 		locations: newAdapterLocations(),
-		hotKeys:   newHotKeys(),
+		hotKeys:   placement.NewHotKeys(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
@@ -80,7 +81,7 @@
 	go clock.Every(ctx, sweepInterval, func(now time.Time) {
 		d.health.sweep(now)
 		d.locations.sweep(now)
-		d.hotKeys.sweep(now)
+		d.hotKeys.Sweep(now)
 		d.reports.sweep(now)
 	})
 	d.owners.run(ctx)
@@ -105,9 +106,9 @@
 // Place implements gateway.Dispatcher.
 func (d *Dispatcher) Place(ctx context.Context, req gateway.Request) (gateway.Placement, error) {
 	for range maxPlaceTries {
-		placement, err := d.tryPlace(ctx, req)
+		chosen, err := d.tryPlace(ctx, req)
 		if !errors.Is(err, errOverLimit) {
-			return placement, err
+			return chosen, err
 		}
 	}
 	return gateway.Placement{}, d.noRoomError(req, time.Now())
@@ -163,7 +164,7 @@
 func (d *Dispatcher) noRoomError(req gateway.Request, until time.Time) error {
 	now := time.Now()
 	e := result.New(result.QueueFull, "the endpoints that are left have asked for a pause or are at the rate limits that they state")
-	e.RetryAfter = max(d.returns.schedule(req.Group.Name, until, d.returnInterval(d.group(req)), now).Sub(now), minRetryAfter)
+	e.RetryAfter = max(d.returns.Schedule(req.Group.Name, until, d.returnInterval(d.group(req)), now).Sub(now), placement.MinRetryAfter)
 	return e
 }
 
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -12,6 +12,7 @@
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
@@ -19,29 +20,6 @@
 )
 
 const (
-	// defaultHomeCount is the number of engines among which a request looks for its adapter, if there are that
-	// many. Adapters in heavy use get more homes (see hotKeys).
-	defaultHomeCount = 3
-	// immediateWaitShare is the part of a request's objective that the queue and its own work at a home may
-	// take up for the request to go there without asking the next home.
-	immediateWaitShare = 0.25
-	// immediateLoadShare is the part of the objective that a request waits for its adapter to load at a home
-	// without asking the next home.
-	immediateLoadShare = 0.55
-	// maxWaitShare is the multiple of the objective beyond which a request is refused: a response that comes
-	// late keeps others from being in time. Lower limits apply to less urgent requests and to those of accounts
-	// over their limit, so that these are refused before others.
-	maxWaitShare           = 1.2
-	lessUrgentMaxWaitShare = 0.95
-	overLimitMaxWaitShare  = 0.6
-	// loadPenalty is added to the wait at a home that would have to load the adapter: the load takes a slot and
-	// a share of the weight store's bandwidth from others.
-	loadPenalty = 100 * time.Millisecond
-	// waitTimeoutShare is the multiple of the objective after which a wait that takes longer than expected
-	// ends.
-	waitTimeoutShare = 2.0
-	// defaultObjective applies to routes without an objective of their own.
-	defaultObjective = time.Second
 	// reportHomeCount is the number of a request's homes whose reports are read when no owner can be reached.
 	// If any engine holds the adapter, one of these does, unless the adapter is in heavy use.
 	reportHomeCount = 5
@@ -53,72 +31,39 @@
 	// noOwnerRetryAfter is the Retry-After of a request that found no owner. By then the lease should have been
 	// taken over.
 	noOwnerRetryAfter = time.Second
-	// minRetryAfter is the least Retry-After of a refused request.
-	minRetryAfter = 100 * time.Millisecond
 )
 
-// search is the search of one request for an engine among its homes. It is not safe for concurrent use.
+// search carries out the search of one request for an engine. It is not safe for concurrent use.
 type search struct {
-	d         *Dispatcher
-	req       gateway.Request
-	objective time.Duration
-	// waitDeadline is when the request is refused rather than waiting any longer.
-	waitDeadline time.Time
-	// offers are the homes where the request would have to wait.
-	offers []offer
+	d    *Dispatcher
+	req  gateway.Request
+	plan placement.Request
 	// replies describe the replies of the owners, for the log and the error of a refused request.
 	replies []string
 	// overLimit says that an engine that the request was to go to has no room within its stated limit.
 	overLimit bool
 }
 
-// offer is a home where a request would have to wait.
-type offer struct {
-	endpoint roster.Endpoint
-	// estimate is the expected time to the first token, without the wait for the adapter.
-	estimate time.Duration
-	// queue is the part of estimate that is not the request's own work.
-	queue time.Duration
-	// loadDelay is the expected wait for the adapter; 0 if the engine holds it.
-	loadDelay time.Duration
-}
-
-// wait returns how long the request would have to wait at the home, with a penalty for homes that do not hold
-// its adapter.
-func (o offer) wait() time.Duration {
-	if o.loadDelay > 0 {
-		return o.estimate + o.loadDelay + loadPenalty
-	}
-	return o.estimate
-}
-
 // placeOnEngine asks the owners of the request's homes one after the other. If none grants a permit at
 // once, the request goes to the home with the shortest wait.
 func (d *Dispatcher) placeOnEngine(ctx context.Context, req gateway.Request, candidates []roster.Endpoint) (gateway.Placement, error) {
-	s := &search{d: d, req: req, objective: req.Route.Objective}
-	if s.objective == 0 {
-		s.objective = defaultObjective
-	}
-	s.waitDeadline = req.Arrived.Add(s.objectiveShare(waitTimeoutShare))
-	if req.Deadline.Before(s.waitDeadline) {
-		s.waitDeadline = req.Deadline
-	}
-	key := homeKey(req)
-	ranked := rankHomes(key, candidates)
-	homeCount := d.hotKeys.homeCount(key, time.Now())
+	s := &search{d: d, req: req, plan: placement.NewRequest(req.Route.Objective, req.Arrived, req.Deadline, req.Urgency, req.OverLimit)}
+	key := placement.HomeKey(req.Terms)
+	ranked := placement.RankHomes(key, candidates)
+	homeCount := d.hotKeys.HomeCount(key, time.Now())
 	for {
-		if placement, ok := s.tryHomes(ctx, key, ranked, homeCount); ok {
-			return placement, nil
-		}
-		if s.overLimit {
+		chosen, last, ok := s.askOwners(ctx, key, ranked, homeCount)
+		switch {
+		case ok:
+			return chosen, nil
+		case s.overLimit:
 			return gateway.Placement{}, errOverLimit
-		}
-		if len(s.offers) > 0 {
-			return gateway.Placement{}, s.queueFullError()
+		case last.Action == placement.Refuse:
+			return gateway.Placement{}, s.queueFullError(last)
 		}
 		// No owner can be reached.
-		if placement, ok := s.placeByReport(ctx, ranked); ok {
-			return placement, nil
+		if chosen, ok := s.placeByReport(ctx, ranked); ok {
+			return chosen, nil
 		}
 		if s.overLimit {
 			return gateway.Placement{}, errOverLimit
@@ -130,63 +75,45 @@
 	}
 }
 
-// tryHomes asks the owners of the request's homes for a permit.
-func (s *search) tryHomes(ctx context.Context, key string, ranked []roster.Endpoint, homeCount int) (gateway.Placement, bool) {
-	for _, e := range chooseHomes(s.req, ranked, homeCount) {
-		if placement, ok := s.tryHome(ctx, e); ok || s.overLimit {
-			return placement, ok
+// askOwners follows the steps of a search until an owner grants a permit, or the search ends without one. It returns
+// the last step.
+func (s *search) askOwners(ctx context.Context, key string, ranked []roster.Endpoint, homeCount int) (gateway.Placement, placement.Step, bool) {
+	plan := placement.NewSearch(s.plan, placement.SessionKey(s.req.ID, s.req.Terms), ranked, homeCount)
+	for {
+		step := plan.Next(time.Now())
+		if step.AddHome {
+			s.d.hotKeys.AddHome(key, time.Now())
 		}
-	}
-	if s.allHomesBusy() && homeCount < len(ranked) {
-		s.d.hotKeys.addHome(key, time.Now())
-		if placement, ok := s.tryHome(ctx, ranked[homeCount]); ok || s.overLimit {
-			return placement, ok
+		if step.Prefetch != nil && s.req.Terms.Adapter != "" {
+			go s.d.prefetch(context.WithoutCancel(ctx), s.req, *step.Prefetch)
+		}
+		if step.Action != placement.Ask && step.Action != placement.Send {
+			return gateway.Placement{}, step, false
+		}
+		if chosen, ok := s.follow(ctx, plan, step); ok || s.overLimit {
+			return chosen, step, ok
 		}
 	}
-	return s.takeBestOffer(ctx)
-}
-
-// objectiveShare returns a fraction of the objective.
-func (s *search) objectiveShare(part float64) time.Duration {
-	return time.Duration(part * float64(s.objective))
-}
-
-// maxWait returns the longest time from the request's arrival to its first token for which it is still worth
-// serving.
-func (s *search) maxWait() time.Duration {
-	switch {
-	case s.req.OverLimit:
-		return s.objectiveShare(overLimitMaxWaitShare)
-	case s.req.Urgency > 0:
-		return s.objectiveShare(lessUrgentMaxWaitShare)
-	}
-	return s.objectiveShare(maxWaitShare)
 }
 
-// tryHome asks for an immediate permit at a home, and records the offer if the request would have to wait.
-func (s *search) tryHome(ctx context.Context, e roster.Endpoint) (gateway.Placement, bool) {
-	placement, reply, ok := s.acquire(ctx, e, waitBounds{s.objectiveShare(immediateWaitShare), s.objectiveShare(immediateLoadShare)})
+// follow asks for a permit at the engine of a step, and records the offer if the request would have to wait.
+func (s *search) follow(ctx context.Context, plan *placement.Search, step placement.Step) (gateway.Placement, bool) {
+	chosen, reply, ok := s.acquire(ctx, step.Endpoint, step.Bounds)
 	if ok || s.overLimit {
-		return placement, ok
+		return chosen, ok
 	}
-	s.replies = append(s.replies, describeReply(e, reply))
+	s.replies = append(s.replies, describeReply(step.Endpoint, reply))
 	switch reply.Status {
 	case orders.Offered, orders.Waiting:
-		s.offers = append(s.offers, offer{e, reply.Estimate, reply.Estimate - reply.Own, reply.Delay})
+		plan.Offered(step.Endpoint, reply.Estimate, reply.Own, reply.Delay)
 	case orders.NotOwner:
-		return s.placeAtKnownLocation(e)
+		if step.Action == placement.Ask {
+			return s.placeAtKnownLocation(step.Endpoint)
+		}
 	}
 	return gateway.Placement{}, false
 }
 
-// allHomesBusy reports whether all homes hold the adapter and have long queues, so that another home would
-// help.
-func (s *search) allHomesBusy() bool {
-	return len(s.offers) >= defaultHomeCount && !slices.ContainsFunc(s.offers, func(o offer) bool {
-		return o.loadDelay > 0 || o.queue <= s.objectiveShare(immediateWaitShare)
-	})
-}
-
 // describeReply formats an owner's reply for the log: the endpoint, the status, and the expected times if there
 // are any.
 func describeReply(e roster.Endpoint, reply orders.AcquireReply) string {
@@ -197,31 +124,6 @@
 	return text
 }
 
-// takeBestOffer asks for a permit at the home with the shortest wait, unless that wait is too long.
-func (s *search) takeBestOffer(ctx context.Context) (gateway.Placement, bool) {
-	if len(s.offers) == 0 {
-		return gateway.Placement{}, false
-	}
-	best := slices.MinFunc(s.offers, func(a, b offer) int { return cmp.Compare(a.wait(), b.wait()) })
-	if best.estimate+best.loadDelay > s.maxWait()-time.Since(s.req.Arrived) && !s.lateByOwnWork(best) {
-		return gateway.Placement{}, false
-	}
-	s.prefetch(ctx, best)
-	// The state of the home may have changed a little since the offer.
-	limits := waitBounds{best.estimate + s.objectiveShare(immediateWaitShare), best.loadDelay + s.objectiveShare(immediateWaitShare)}
-	placement, reply, ok := s.acquire(ctx, best.endpoint, limits)
-	if !ok {
-		s.replies = append(s.replies, describeReply(best.endpoint, reply))
-	}
-	return placement, ok
-}
-
-// lateByOwnWork reports whether hardly anything is ahead of the request at the home. The request is then late
-// only because of its own work, and a late response is better than none.
-func (s *search) lateByOwnWork(o offer) bool {
-	return o.queue <= s.objectiveShare(immediateWaitShare) && o.loadDelay <= s.objectiveShare(immediateLoadShare) && o.estimate+o.loadDelay < time.Until(s.waitDeadline)
-}
-
 // logGranted logs that an owner has granted the request a permit.
 func (s *search) logGranted(e roster.Endpoint, reply orders.AcquireReply, limit ratelimit.Decision) {
 	s.d.logPlaced(s.req, e, limit, logrus.Fields{
@@ -230,35 +132,17 @@
 	})
 }
 
-// prefetch makes a home that does not hold the adapter load it if that home is much less busy than the chosen
-// one, so that later requests find the adapter there.
-func (s *search) prefetch(ctx context.Context, best offer) {
-	if s.req.Terms.Adapter == "" || best.loadDelay > 0 {
-		return
-	}
-	for _, o := range s.offers {
-		if o.loadDelay > 0 && o.estimate < best.estimate/2 {
-			go s.d.prefetch(context.WithoutCancel(ctx), s.req, o.endpoint)
-			return
-		}
-	}
-}
-
-// queueFullError returns the error for a request whose wait would be too long at every home, with the time to
+// queueFullError returns the error for a request whose wait would be too long at every engine, with the time to
 // retry after.
-func (s *search) queueFullError() error {
+func (s *search) queueFullError(last placement.Step) error {
 	e := result.New(result.QueueFull, "no engine can take the request in time: "+strings.Join(s.replies, " "))
-	best := slices.MinFunc(s.offers, func(a, b offer) int { return cmp.Compare(a.wait(), b.wait()) })
-	e.RetryAfter = max(best.wait()-s.maxWait()/2, minRetryAfter)
+	e.RetryAfter = last.RetryAfter
 	return e
 }
 
-// waitBounds are the longest waits that a request accepts: for the first token, and for the adapter.
-type waitBounds struct{ first, load time.Duration }
-
-// acquire asks the owner of an engine for a permit until it is granted or refused, or s.waitDeadline has passed. It sets
+// acquire asks the owner of an engine for a permit until it is granted or refused, or s.plan.WaitDeadline has passed. It sets
 // s.overLimit if the engine has no room within the limit that it states.
-func (s *search) acquire(ctx context.Context, e roster.Endpoint, limits waitBounds) (gateway.Placement, orders.AcquireReply, bool) {
+func (s *search) acquire(ctx context.Context, e roster.Endpoint, limits placement.Bounds) (gateway.Placement, orders.AcquireReply, bool) {
 	d := s.d
 	address, known := d.owners.ownerAddress(e.ID)
 	if !known || !d.owners.available(address, time.Now()) {
@@ -266,10 +150,10 @@
 	}
 	permit := d.owners.lastPermit.Add(1)
 	args := d.acquireArgs(s.req, e)
-	args.Permit, args.Bound, args.LoadBound = permit, limits.first, limits.load
+	args.Permit, args.Bound, args.LoadBound = permit, limits.First, limits.Load
 	reply := orders.AcquireReply{Status: orders.Waiting}
 	for {
-		args.Left, args.Life = time.Until(s.waitDeadline), time.Until(s.req.Deadline)
+		args.Left, args.Life = time.Until(s.plan.WaitDeadline), time.Until(s.req.Deadline)
 		if args.Left <= 0 || ctx.Err() != nil || !d.acceptsRequests(e) {
 			return gateway.Placement{}, reply, false
 		}
@@ -284,7 +168,7 @@
 				d.owners.queueUpdate(address, n)
 			})
 		case orders.Waiting:
-			// The request is now queued for the adapter: only waitDeadline ends the wait.
+			// The request is now queued for the adapter: only WaitDeadline ends the wait.
 			args.Bound, args.LoadBound = unbounded, unbounded
 		default:
 			return gateway.Placement{}, reply, false
@@ -385,7 +269,7 @@
 // awaitOwner waits until the owners may be asked again. It reports false if the request has waited long enough
 // for them.
 func (s *search) awaitOwner(ctx context.Context) bool {
-	if time.Since(s.req.Arrived)+ownerRetryInterval > s.objectiveShare(ownerWaitShare) || time.Until(s.waitDeadline) <= ownerRetryInterval {
+	if time.Since(s.req.Arrived)+ownerRetryInterval > s.plan.ObjectiveShare(ownerWaitShare) || time.Until(s.plan.WaitDeadline) <= ownerRetryInterval {
 		return false
 	}
 	return clock.Sleep(ctx, ownerRetryInterval)
--- a/pkg/dispatch/health.go
+++ b/pkg/dispatch/health.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -34,8 +35,6 @@
 	trialRetryDelay = 50 * time.Millisecond
 	// latencyWeight is the weight of a new latency in the moving average.
 	latencyWeight = 0.2
-	// initialLatency is assumed before a latency has been measured.
-	initialLatency = 20 * time.Millisecond
 )
 
 // endpointHealth is what this VM knows of one incarnation of an endpoint from its own requests.
@@ -221,13 +220,7 @@
 }
 
 // cost returns the expected latency of one more request.
-func (h *endpointHealth) cost() time.Duration {
-	latency := h.latency
-	if latency == 0 {
-		latency = initialLatency
-	}
-	return latency * time.Duration(h.outstanding+1)
-}
+func (h *endpointHealth) cost() time.Duration { return placement.ServiceCost(h.latency, h.outstanding) }
 
 // healthTracker tracks the health of all endpoints. It is safe for concurrent use.
 type healthTracker struct {
--- a/pkg/dispatch/limit_test.go
+++ b/pkg/dispatch/limit_test.go
@@ -15,6 +15,7 @@
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
@@ -84,7 +85,7 @@
 		for i := 2; i < len(returns); i++ {
 			require.InDelta(t, 100*time.Millisecond, returns[i]-returns[i-1], float64(time.Millisecond))
 		}
-		require.LessOrEqual(t, returns[17], maxReturnDelay)
+		require.LessOrEqual(t, returns[17], placement.MaxReturnDelay)
 		// All of them come back at the time that they were given.
 		served, begun := 0, time.Now()
 		for _, after := range returns {
@@ -106,7 +107,7 @@
 		view := roster.New()
 		list := endpoints("e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7")
 		view.Set(roster.NewView(list))
-		ranked := ids(rankHomes("m/a", list))
+		ranked := ids(placement.RankHomes("m/a", list))
 		d := New(Config{
 			Limits: limited(t.Context(), map[string]float64{ranked[0]: 1, ranked[1]: 0, ranked[2]: 1}),
 			Self:   "vm", Roster: view, Leases: q, PeerClient: q, Log: discardLogger(), Metrics: metrics.NewRegistry(),
--- a/pkg/dispatch/reports_test.go
+++ b/pkg/dispatch/reports_test.go
@@ -17,6 +17,7 @@
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
@@ -77,7 +78,7 @@
 		Self:   "vm", Roster: view, Leases: o, PeerClient: o, Engines: o, Log: discardLogger(),
 		RosterAge: func() time.Duration { return 0 }, Newest: func(residency.Key) int { return newest },
 	})
-	return d, ids(rankHomes("m/"+adapter, list))
+	return d, ids(placement.RankHomes("m/"+adapter, list))
 }
 
 const ownerlessObjective = 800 * time.Millisecond
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -16,6 +16,7 @@
 	"github.com/mallowlink/mallowlink/pkg/engine"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
@@ -246,7 +247,7 @@
 			continue
 		}
 		for _, w := range workers {
-			w.cancelPermit(permitKey{incarnation, update.Permit}, now)
+			w.cancelPermit(placement.PermitKey{Incarnation: incarnation, Permit: update.Permit}, now)
 		}
 	}
 }
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
@@ -29,6 +30,9 @@
 	// each further failure, up to maxBackoff.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// permitGrace is how long a permit is kept beyond the longest time that its request can last. After that,
+	// the permit expires even if no update says that the request has ended.
+	permitGrace = 500 * time.Millisecond
 	// idleInterval is the longest time between two checks for expired permits.
 	idleInterval = time.Second
 	// leaseCheckInterval is the time between two checks of a lease that is not held.
@@ -52,10 +56,10 @@
 	// The fields below are guarded by mu.
 
 	planner *residency.Planner
-	load    engineLoad
+	load    placement.Load
 	waiters map[residency.Key][]*waiter
 	// cancelled maps permits that ended before they were granted to the time until which they are remembered.
-	cancelled map[permitKey]time.Time
+	cancelled map[placement.PermitKey]time.Time
 	// loggedAt is when the engine's state was last logged.
 	loggedAt          time.Time
 	roundTrip         time.Duration
@@ -89,9 +93,9 @@
 			WarmCount:  residency.DefaultWarmCount,
 			Newest:     s.cfg.Newest,
 		}),
-		load:      newEngineLoad(spec.RequestSlots, spec.CacheTokens),
+		load:      placement.NewLoad(spec.RequestSlots, spec.CacheTokens),
 		waiters:   map[residency.Key][]*waiter{},
-		cancelled: map[permitKey]time.Time{},
+		cancelled: map[placement.PermitKey]time.Time{},
 		model:     spec.Model,
 		roundTrip: initialRoundTrip,
 	}
@@ -159,12 +163,13 @@
 // stateLocked returns the engine's state. w.mu must be held.
 func (w *worker) stateLocked() EngineState {
 	sum := w.planner.Summary()
+	running, unread := w.load.Running()
 	return EngineState{
 		Endpoint: w.endpoint.ID, Started: w.endpoint.Started, Lease: w.lease,
 		Ready: w.planner.Ready(), Down: !w.downUntil.IsZero(),
 		Held: sum.Held, InUse: sum.InUse, Loading: sum.Loading, Wanted: sum.Wanted,
-		LoadTime: sum.LoadTime.Round(time.Millisecond).String(), TokenTime: w.load.tokenTime.String(),
-		Requests: w.load.running, Unread: w.load.unread,
+		LoadTime: sum.LoadTime.Round(time.Millisecond).String(), TokenTime: w.load.TokenTime().String(),
+		Requests: running, Unread: unread,
 	}
 }
 
@@ -320,7 +325,7 @@
 		entry.WithError(err).Warn("order failed, outcome unknown")
 	}
 	if a.Kind == residency.Evict && reply == engine.Holds {
-		w.load.cache.removeAdapter(a.Adapter.Name)
+		w.load.ForgetAdapter(a.Adapter.Name)
 	}
 	w.serveWaiters(now)
 }
@@ -346,7 +351,7 @@
 }
 
 // cancelPermit remembers that a permit ended before it was granted, so that it is not granted later.
-func (w *worker) cancelPermit(key permitKey, now time.Time) {
+func (w *worker) cancelPermit(key placement.PermitKey, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancelled[key] = now.Add(2 * MaxWait)
@@ -359,15 +364,15 @@
 			delete(w.cancelled, key)
 		}
 	}
-	for _, key := range w.load.expired(now) {
+	for _, key := range w.load.Expired(now) {
 		w.endPermit(key, now)
 	}
 }
 
 // endPermit removes a permit and releases its adapter. w.mu must be held.
-func (w *worker) endPermit(key permitKey, now time.Time) {
-	if p := w.load.remove(key); p != nil && p.adapter != "" {
-		w.planner.Release(residency.Key{Model: w.model, Name: p.adapter}, now)
+func (w *worker) endPermit(key placement.PermitKey, now time.Time) {
+	if adapter, ok := w.load.Remove(key); ok && adapter != "" {
+		w.planner.Release(residency.Key{Model: w.model, Name: adapter}, now)
 	}
 }
 
@@ -387,7 +392,7 @@
 	}
 	estimate, delay := w.estimate(args), w.adapterDelay(args, key, start)
 	if estimate > args.Bound || delay > args.LoadBound {
-		own := w.load.idleEstimate(w.unread(args))
+		own := w.load.IdleEstimate(w.unread(args))
 		w.mu.Unlock()
 		return AcquireReply{Status: Offered, Estimate: estimate, Own: own, Delay: delay}
 	}
@@ -448,19 +453,19 @@
 
 // estimate returns the expected time to the first token of a request. w.mu must be held.
 func (w *worker) estimate(args *AcquireArgs) time.Duration {
-	return w.load.estimate(w.unread(args))
+	return w.load.Estimate(w.unread(args))
 }
 
 // unread returns the number of a request's prompt tokens that the engine has to process. w.mu must be held.
 func (w *worker) unread(args *AcquireArgs) int {
-	return w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
+	return w.load.Unread(args.Adapter, args.Prompt, args.Tokens)
 }
 
 // grant grants a permit if the adapter is usable now. w.mu must be held.
 func (w *worker) grant(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
 	unread := w.unread(args)
-	reply := AcquireReply{Status: Granted, Estimate: w.load.estimate(unread)}
-	if _, gone := w.cancelled[permitKey{args.Incarnation, args.Permit}]; gone || !w.planner.Ready() {
+	reply := AcquireReply{Status: Granted, Estimate: w.load.Estimate(unread)}
+	if _, gone := w.cancelled[placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}]; gone || !w.planner.Ready() {
 		return AcquireReply{}, false
 	}
 	if args.Adapter != "" {
@@ -470,8 +475,8 @@
 		}
 		reply.Version = version
 	}
-	w.load.cache.add(args.Adapter, args.Prompt)
-	w.load.add(permitKey{args.Incarnation, args.Permit}, args.Adapter, unread, now.Add(args.Life+permitGrace))
+	w.load.CachePrompt(args.Adapter, args.Prompt)
+	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, unread, now.Add(args.Life+permitGrace))
 	return reply, true
 }
 
@@ -495,18 +500,18 @@
 // applyUpdate applies an update to a permit. It reports whether the permit is known.
 func (w *worker) applyUpdate(incarnation string, n PermitUpdate) bool {
 	now := time.Now()
-	key := permitKey{incarnation, n.Permit}
+	key := placement.PermitKey{Incarnation: incarnation, Permit: n.Permit}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.load.permits[key]
-	if p == nil {
+	adapter, ok := w.load.Adapter(key)
+	if !ok {
 		return false
 	}
 	if n.Started {
-		w.load.markStarted(key, n.First)
+		w.load.MarkStarted(key, n.First)
 	}
 	if n.Missing {
-		w.planner.MarkMissing(residency.Key{Model: w.model, Name: p.adapter}, now)
+		w.planner.MarkMissing(residency.Key{Model: w.model, Name: adapter}, now)
 		w.signal()
 	}
 	if n.Ended {
--- a/pkg/dispatch/homes.go
+++ b/pkg/placement/homes.go
@@ -1,4 +1,4 @@
-package dispatch
+package placement
 
 import (
 	"cmp"
@@ -6,26 +6,26 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
-// homeKey returns the key that determines a request's homes: its adapter, or the first part of its prompt if it
+// HomeKey returns the key that determines a request's homes: its adapter, or the first part of its prompt if it
 // names no adapter. Requests with the same key go to the same engines, where they find the adapter and the
 // prompt cached.
-func homeKey(req gateway.Request) string {
-	if req.Terms.Adapter != "" {
-		return req.Terms.Model + "/" + req.Terms.Adapter
+func HomeKey(terms dialect.RequestInfo) string {
+	if terms.Adapter != "" {
+		return terms.Model + "/" + terms.Adapter
 	}
-	if len(req.Terms.Prompt) > 0 {
-		return req.Terms.Model + ":" + req.Terms.Prompt[0].ID
+	if len(terms.Prompt) > 0 {
+		return terms.Model + ":" + terms.Prompt[0].ID
 	}
-	return req.Terms.ID
+	return terms.ID
 }
 
-// rankHomes orders the candidates by rendezvous hash: each VM computes the same order, and the loss of an
+// RankHomes orders the candidates by rendezvous hash: each VM computes the same order, and the loss of an
 // endpoint moves only the keys whose first home it was.
-func rankHomes(key string, candidates []roster.Endpoint) []roster.Endpoint {
+func RankHomes(key string, candidates []roster.Endpoint) []roster.Endpoint {
 	type scored struct {
 		score uint64
 		index int
--- a/pkg/dispatch/hotkeys.go
+++ b/pkg/placement/hotkeys.go
@@ -1,4 +1,4 @@
-package dispatch
+package placement
 
 import (
 	"math"
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/mallowlink/mallowlink/pkg/gateway"
+	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -19,9 +19,9 @@
 	minExtraHomes = 0.5
 )
 
-// hotKeys tracks the home keys (see homeKey) with more requests than their default homes can serve, and gives
+// HotKeys tracks the home keys (see HomeKey) with more requests than their default homes can serve, and gives
 // them extra homes. It is safe for concurrent use.
-type hotKeys struct {
+type HotKeys struct {
 	mu    sync.Mutex
 	extra map[string]extraHomes // by home key, guarded by mu
 }
@@ -32,29 +32,30 @@
 	at    time.Time
 }
 
-func newHotKeys() *hotKeys { return &hotKeys{extra: map[string]extraHomes{}} }
+// NewHotKeys returns a table without extra homes.
+func NewHotKeys() *HotKeys { return &HotKeys{extra: map[string]extraHomes{}} }
 
 // countAt returns the number of extra homes at now.
 func (s extraHomes) countAt(now time.Time) float64 {
 	return s.count * math.Exp2(-now.Sub(s.at).Seconds()/extraHomesHalfLife.Seconds())
 }
 
-// homeCount returns the number of homes of a key.
-func (s *hotKeys) homeCount(key string, now time.Time) int {
+// HomeCount returns the number of homes of a key.
+func (s *HotKeys) HomeCount(key string, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return defaultHomeCount + int(math.Round(s.extra[key].countAt(now)))
+	return DefaultHomeCount + int(math.Round(s.extra[key].countAt(now)))
 }
 
-// addHome adds a home to a key.
-func (s *hotKeys) addHome(key string, now time.Time) {
+// AddHome adds a home to a key.
+func (s *HotKeys) AddHome(key string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.extra[key] = extraHomes{count: s.extra[key].countAt(now) + 1, at: now}
 }
 
-// sweep discards the keys whose extra homes have decayed.
-func (s *hotKeys) sweep(now time.Time) {
+// Sweep discards the keys whose extra homes have decayed.
+func (s *HotKeys) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, homes := range s.extra {
@@ -64,26 +65,27 @@
 	}
 }
 
-// chooseHomes returns the homes to ask for a request: the first ones by rank. If there are more homes than the
+// ChooseHomes returns the homes to ask for a request: the first ones by rank. If there are more homes than the
 // default number, it chooses among them by the request's session, so that the session's prompts are found where
 // they are cached.
-func chooseHomes(req gateway.Request, ranked []roster.Endpoint, homeCount int) []roster.Endpoint {
+func ChooseHomes(session string, ranked []roster.Endpoint, homeCount int) []roster.Endpoint {
 	homeCount = min(homeCount, len(ranked))
-	if homeCount <= defaultHomeCount {
+	if homeCount <= DefaultHomeCount {
 		return ranked[:homeCount]
 	}
-	start := int(xxhash.Sum64String(sessionKey(req)) % uint64(homeCount))
-	chosen := make([]roster.Endpoint, defaultHomeCount)
+	start := int(xxhash.Sum64String(session) % uint64(homeCount))
+	chosen := make([]roster.Endpoint, DefaultHomeCount)
 	for i := range chosen {
 		chosen[i] = ranked[(start+i)%homeCount]
 	}
 	return chosen
 }
 
-// sessionKey returns the key that the requests of a session share: the last part of the prompt.
-func sessionKey(req gateway.Request) string {
-	if n := len(req.Terms.Prompt); n > 0 {
-		return req.Terms.Prompt[n-1].ID
+// SessionKey returns the key that the requests of a session share: the last part of the prompt, or the request's
+// ID if its prompt has no parts.
+func SessionKey(id string, terms dialect.RequestInfo) string {
+	if n := len(terms.Prompt); n > 0 {
+		return terms.Prompt[n-1].ID
 	}
-	return req.ID
+	return id
 }
--- /dev/null
+++ b/pkg/placement/load.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/dialect"
+)
+
+const (
+	// initialTokenTime is the processing time per prompt token that is assumed before any has been measured.
+	initialTokenTime = 30 * time.Microsecond
+	// tokenTimeWeight is the weight of a new measurement in the moving average of the time per token.
+	tokenTimeWeight = 0.1
+	// minTokenTime and maxTokenTime bound the average.
+	minTokenTime = 10 * time.Microsecond
+	maxTokenTime = 500 * time.Microsecond
+	// baseFirstTokenTime is the time to the first token of an empty prompt at an idle engine.
+	baseFirstTokenTime = 15 * time.Millisecond
+	// Requests slow each other down once more than contentionShare of an engine's request slots are taken.
+	// maxContentionDelay is the time that this adds to the first token when all slots are taken.
+	contentionShare    = 0.4
+	maxContentionDelay = 250 * time.Millisecond
+)
+
+// PermitKey identifies a permit by the caller's process and the number that the process gave it.
+type PermitKey struct {
+	Incarnation string
+	Permit      uint64
+}
+
+// permit describes a request that may be running on the engine.
+type permit struct {
+	adapter string
+	// unread is the number of the request's prompt tokens that the engine has to process.
+	unread int
+	// queued is the number of tokens that the engine had to process when the permit was granted, including
+	// the request's own.
+	queued  int
+	started bool
+	expires time.Time
+}
+
+// Load estimates how busy an engine is from the permits granted for it. It is not safe for concurrent use.
+type Load struct {
+	permits map[PermitKey]*permit
+	// unread is the number of prompt tokens to be processed for requests without a first token yet.
+	unread       int
+	running      int
+	requestSlots int
+	tokenTime    time.Duration
+	cache        promptCache
+}
+
+// NewLoad returns the load of an engine without permits. The engine runs that many requests at once, and its prompt
+// cache holds capacity tokens.
+func NewLoad(slots, capacity int) Load {
+	return Load{permits: map[PermitKey]*permit{}, requestSlots: slots, tokenTime: initialTokenTime, cache: newPromptCache(capacity)}
+}
+
+// Estimate returns the expected time to the first token of a request with that many tokens to process.
+func (l *Load) Estimate(tokens int) time.Duration {
+	return l.IdleEstimate(l.unread+tokens) + l.contentionDelay()
+}
+
+// IdleEstimate returns the expected time to the first token of a request with that many tokens to process at
+// an idle engine.
+func (l *Load) IdleEstimate(tokens int) time.Duration {
+	return baseFirstTokenTime + time.Duration(tokens)*l.tokenTime
+}
+
+// contentionDelay returns the time that the number of running requests adds to the first token.
+func (l *Load) contentionDelay() time.Duration {
+	if l.requestSlots == 0 {
+		return 0
+	}
+	beyond := float64(l.running)/float64(l.requestSlots) - contentionShare
+	return time.Duration(max(beyond, 0) / (1 - contentionShare) * float64(maxContentionDelay))
+}
+
+// Add records a granted permit.
+func (l *Load) Add(key PermitKey, adapter string, tokens int, expires time.Time) {
+	l.unread += tokens
+	l.running++
+	l.permits[key] = &permit{adapter: adapter, unread: tokens, queued: l.unread, expires: expires}
+}
+
+// MarkStarted records that a request's first token has arrived that long after the request was sent, and
+// updates the average time per token.
+func (l *Load) MarkStarted(key PermitKey, after time.Duration) {
+	p := l.permits[key]
+	if p == nil || p.started {
+		return
+	}
+	p.started = true
+	l.unread -= p.unread
+	if p.queued <= 0 {
+		return
+	}
+	seen := max(after-baseFirstTokenTime, 0) / time.Duration(p.queued)
+	l.tokenTime += time.Duration(tokenTimeWeight * float64(seen-l.tokenTime))
+	l.tokenTime = min(max(l.tokenTime, minTokenTime), maxTokenTime)
+}
+
+// Remove removes a permit and returns the adapter of its request. It reports false if there is no such permit.
+func (l *Load) Remove(key PermitKey) (adapter string, ok bool) {
+	p := l.permits[key]
+	if p == nil {
+		return "", false
+	}
+	delete(l.permits, key)
+	l.running--
+	if !p.started {
+		l.unread -= p.unread
+	}
+	return p.adapter, true
+}
+
+// Adapter returns the adapter of the request that a permit was granted for. It reports false if there is no such
+// permit.
+func (l *Load) Adapter(key PermitKey) (string, bool) {
+	p := l.permits[key]
+	if p == nil {
+		return "", false
+	}
+	return p.adapter, true
+}
+
+// Running returns the number of permits in force, and unread the number of prompt tokens to be processed for those of
+// them whose requests have no first token yet.
+func (l *Load) Running() (permits, unread int) { return l.running, l.unread }
+
+// TokenTime returns the expected processing time per prompt token.
+func (l *Load) TokenTime() time.Duration { return l.tokenTime }
+
+// Unread returns the number of prompt tokens that the engine has to process for a request: all but the leading parts
+// that it has cached.
+func (l *Load) Unread(adapter string, prompt []dialect.PromptPart, tokens int) int {
+	return l.cache.unread(adapter, prompt, tokens)
+}
+
+// CachePrompt records that the engine processes a prompt.
+func (l *Load) CachePrompt(adapter string, prompt []dialect.PromptPart) { l.cache.add(adapter, prompt) }
+
+// ForgetAdapter records that the engine has evicted an adapter, and with it all prompt parts of the adapter.
+func (l *Load) ForgetAdapter(adapter string) { l.cache.removeAdapter(adapter) }
+
+// Expired returns the permits whose requests must have ended.
+func (l *Load) Expired(now time.Time) []PermitKey {
+	var keys []PermitKey
+	for key, p := range l.permits {
+		if now.After(p.expires) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/pkg/placement/search.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+// Action is what the caller of Search.Next has to do.
+type Action int
+
+const (
+	// Ask means to ask the owner of the engine for a permit within the bounds, and to record the reply with
+	// Offered if it is an offer.
+	Ask Action = iota
+	// Send means to ask for a permit at the chosen engine, with bounds that only a changed state exceeds.
+	Send
+	// Refuse means that the request would have to wait too long at every engine.
+	Refuse
+	// Unreachable means that no owner has replied.
+	Unreachable
+)
+
+// Step is the next step of a search.
+type Step struct {
+	Action   Action
+	Endpoint roster.Endpoint
+	Bounds   Bounds
+	// AddHome says that the key of the request needs a further home.
+	AddHome bool
+	// Prefetch, if not nil, is an engine that should load the adapter for later requests.
+	Prefetch *roster.Endpoint
+	// RetryAfter is the time after which a refused caller should come back.
+	RetryAfter time.Duration
+}
+
+// Search is the search of one request for an engine among its homes. It is not safe for concurrent use.
+type Search struct {
+	req Request
+	// homes are the engines to ask, one after the other. spare is asked if they are all busy; nil if there is
+	// none.
+	homes []roster.Endpoint
+	spare *roster.Endpoint
+	asked int
+	// offers are the homes where the request would have to wait.
+	offers []Offer
+	sent   bool
+}
+
+// NewSearch returns the search of a request among the engines ranked for its key, of which the first homeCount are
+// its homes. Requests of one session ask the same homes.
+func NewSearch(req Request, session string, ranked []roster.Endpoint, homeCount int) *Search {
+	s := &Search{req: req, homes: ChooseHomes(session, ranked, homeCount)}
+	if homeCount < len(ranked) {
+		s.spare = &ranked[homeCount]
+	}
+	return s
+}
+
+// Next returns the next step.
+func (s *Search) Next(now time.Time) Step {
+	if s.asked < len(s.homes) {
+		s.asked++
+		return s.ask(s.homes[s.asked-1])
+	}
+	if s.spare != nil && !s.sent && s.allHomesBusy() {
+		step := s.ask(*s.spare)
+		s.spare, step.AddHome = nil, true
+		return step
+	}
+	return s.chooseOffer(now)
+}
+
+// Offered records that the request would have to wait at an engine. estimate is the expected time to the first token,
+// own the part of it that is the request's own work, and loadDelay the expected wait for the adapter.
+func (s *Search) Offered(e roster.Endpoint, estimate, own, loadDelay time.Duration) {
+	if !s.sent {
+		s.offers = append(s.offers, Offer{e, estimate, estimate - own, loadDelay})
+	}
+}
+
+// ask returns the step that asks for an immediate permit at a home.
+func (s *Search) ask(e roster.Endpoint) Step {
+	return Step{Action: Ask, Endpoint: e, Bounds: Bounds{s.req.ObjectiveShare(immediateWaitShare), s.req.ObjectiveShare(immediateLoadShare)}}
+}
+
+// allHomesBusy reports whether all homes hold the adapter and have long queues, so that another home would
+// help.
+func (s *Search) allHomesBusy() bool {
+	return len(s.offers) >= DefaultHomeCount && !slices.ContainsFunc(s.offers, func(o Offer) bool {
+		return o.LoadDelay > 0 || o.Queue <= s.req.ObjectiveShare(immediateWaitShare)
+	})
+}
+
+// chooseOffer returns the step that sends the request to the home with the shortest wait, or refuses it if that wait
+// is too long.
+func (s *Search) chooseOffer(now time.Time) Step {
+	if len(s.offers) == 0 {
+		return Step{Action: Unreachable}
+	}
+	best := slices.MinFunc(s.offers, func(a, b Offer) int { return cmp.Compare(a.wait(), b.wait()) })
+	tooLate := best.Estimate+best.LoadDelay > s.req.maxWait()-now.Sub(s.req.Arrived) && !s.req.lateByOwnWork(best, now)
+	if s.sent || tooLate {
+		return Step{Action: Refuse, RetryAfter: max(best.wait()-s.req.maxWait()/2, MinRetryAfter)}
+	}
+	s.sent = true
+	// The state of the home may have changed a little since the offer.
+	margin := s.req.ObjectiveShare(immediateWaitShare)
+	return Step{Action: Send, Endpoint: best.Endpoint, Bounds: Bounds{best.Estimate + margin, best.LoadDelay + margin}, Prefetch: s.prefetch(best)}
+}
+
+// prefetch returns a home that does not hold the adapter and is much less busy than the chosen one, so that later
+// requests should find the adapter there; nil if there is none.
+func (s *Search) prefetch(best Offer) *roster.Endpoint {
+	if best.LoadDelay > 0 {
+		return nil
+	}
+	for i, o := range s.offers {
+		if o.LoadDelay > 0 && o.Estimate < best.Estimate/2 {
+			return &s.offers[i].Endpoint
+		}
+	}
+	return nil
+}
