placement: switch cost, forecasts by rank and admission by rank

Cause: the most urgent requests are refused for work that engines run after them, and for a wait of 1.2 objectives although their time limit is ten times that, while less urgent requests are admitted on other engines. With cost, an owner's forecast counts unread work of the same or higher urgency, with prompt and event times observed at each engine (shrunk to the group's mean, half-life 1 s), free slots and cache memory. A request of rank 0 that cannot be in time waits, at most 32 on a VM, and joins an engine once its queue is short; other ranks accept shorter waits while more urgent ones are not served at once. PermitUpdate reports the duration and the number of events of a stream. An engine that drains during a search no longer counts as an offer without wait, and a request sent to a second endpoint reports its first part too, which it did not.

--- a/pkg/daemon/command/command.go
+++ b/pkg/daemon/command/command.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/mallowlink/mallowlink/pkg/daemon"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/settings"
 	"github.com/mallowlink/mallowlink/pkg/standalone"
 	"github.com/mallowlink/mallowlink/platform"
@@ -161,6 +162,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&opts.LogLevel, "log-level", "info", "least level of the lines that are logged")
+	cmd.Flags().StringVar(&opts.Placement, "placement", string(placement.Homes), "how requests are placed: homes or cost")
 	cmd.Flags().StringVar(&opts.PeerAddress, "peer-address", "", "where other VMs reach this one, if it is not where it listens")
 	return cmd
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -45,9 +45,11 @@
 	// Limits keeps endpoints within the rate limits that they state.
 	Limits *ratelimit.Limiter
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
-	Newest  func(residency.Key) int
-	Metrics metrics.Registry
-	Log     logrus.FieldLogger
+	Newest func(residency.Key) int
+	// Placement selects the logic that chooses engines.
+	Placement placement.Mode
+	Metrics   metrics.Registry
+	Log       logrus.FieldLogger
 }
 
 // Dispatcher implements gateway.Dispatcher. It is safe for concurrent use.
@@ -59,20 +61,27 @@
 	hotKeys   *placement.HotKeys
 	reports   *reportCache
 	returns   placement.ReturnSchedule
+	admission *placement.Admission
 }
 
 // New returns a Dispatcher.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		cfg:       cfg,
 		health:    newHealthTracker(cfg.Metrics, cfg.Log),
 		locations: newAdapterLocations(),
 		hotKeys:   placement.NewHotKeys(),
+		admission: placement.NewAdmission(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
+	metrics.NewRegisteredFunctionalGauge(metricHeld, cfg.Metrics, d.admission.Held)
+	return d
 }
 
+// metricHeld is the name of the gauge of requests that wait for an engine to become less busy.
+const metricHeld = "dispatch.held"
+
 // sweepInterval is the time between two passes that discard outdated entries of the dispatcher's tables.
 const sweepInterval = 10 * time.Second
 
@@ -195,7 +204,7 @@
 		Progress: recordActivity,
 		Done: func(o gateway.Outcome) {
 			d.health.requestDone(e.Incarnation, o, trial, time.Now())
-			notify(orders.PermitUpdate{Ended: true, Missing: o.AdapterMissing})
+			notify(orders.PermitUpdate{Ended: true, Missing: o.AdapterMissing, Ran: o.Ran, Events: o.Events})
 		},
 	}
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -58,7 +58,7 @@
 			return chosen, nil
 		case s.overLimit:
 			return gateway.Placement{}, errOverLimit
-		case last.Action == placement.Refuse:
+		case last.Action == placement.Refuse, last.Action == placement.Wait:
 			return gateway.Placement{}, s.queueFullError(last)
 		}
 		// No owner can be reached.
@@ -78,7 +78,23 @@
 // askOwners follows the steps of a search until an owner grants a permit, or the search ends without one. It returns
 // the last step.
 func (s *search) askOwners(ctx context.Context, key string, ranked []roster.Endpoint, homeCount int) (gateway.Placement, placement.Step, bool) {
-	plan := placement.NewSearch(s.plan, placement.SessionKey(s.req.ID, s.req.Terms), ranked, homeCount)
+	plan := s.d.newPlan(s.req, s.plan, ranked, homeCount)
+	chosen, last, ok := s.followPlan(ctx, plan, key)
+	plan.End(ok, time.Now())
+	return chosen, last, ok
+}
+
+// newPlan returns the search for an engine by the logic that is switched on.
+func (d *Dispatcher) newPlan(req gateway.Request, r placement.Request, ranked []roster.Endpoint, homeCount int) placement.Plan {
+	session := placement.SessionKey(req.ID, req.Terms)
+	if d.cfg.Placement == placement.Cost {
+		return placement.NewCostSearch(r, req.Group.Name, session, ranked, homeCount, d.admission)
+	}
+	return placement.NewSearch(r, session, ranked, homeCount)
+}
+
+// followPlan follows the steps of a search. It returns the last step.
+func (s *search) followPlan(ctx context.Context, plan placement.Plan, key string) (gateway.Placement, placement.Step, bool) {
 	for {
 		step := plan.Next(time.Now())
 		if step.AddHome {
@@ -87,6 +103,9 @@
 		if step.Prefetch != nil && s.req.Terms.Adapter != "" {
 			go s.d.prefetch(context.WithoutCancel(ctx), s.req, *step.Prefetch)
 		}
+		if step.Action == placement.Wait && clock.Sleep(ctx, step.For) {
+			continue
+		}
 		if step.Action != placement.Ask && step.Action != placement.Send {
 			return gateway.Placement{}, step, false
 		}
@@ -97,15 +116,15 @@
 }
 
 // follow asks for a permit at the engine of a step, and records the offer if the request would have to wait.
-func (s *search) follow(ctx context.Context, plan *placement.Search, step placement.Step) (gateway.Placement, bool) {
-	chosen, reply, ok := s.acquire(ctx, step.Endpoint, step.Bounds)
+func (s *search) follow(ctx context.Context, plan placement.Plan, step placement.Step) (gateway.Placement, bool) {
+	chosen, reply, ok := s.acquire(ctx, step)
 	if ok || s.overLimit {
 		return chosen, ok
 	}
 	s.replies = append(s.replies, describeReply(step.Endpoint, reply))
 	switch reply.Status {
 	case orders.Offered, orders.Waiting:
-		plan.Offered(step.Endpoint, reply.Estimate, reply.Own, reply.Delay)
+		plan.Offered(step.Endpoint, placement.Forecast{First: reply.Estimate, Own: reply.Own, Run: reply.Run}, reply.Delay)
 	case orders.NotOwner:
 		if step.Action == placement.Ask {
 			return s.placeAtKnownLocation(step.Endpoint)
@@ -140,21 +159,24 @@
 	return e
 }
 
-// acquire asks the owner of an engine for a permit until it is granted or refused, or s.plan.WaitDeadline has passed. It sets
-// s.overLimit if the engine has no room within the limit that it states.
-func (s *search) acquire(ctx context.Context, e roster.Endpoint, limits placement.Bounds) (gateway.Placement, orders.AcquireReply, bool) {
-	d := s.d
+// acquire asks the owner of an engine for a permit until it is granted or refused, or the step's
+// WaitUntil has passed. It sets s.overLimit if the engine has no room within the limit that it states.
+func (s *search) acquire(ctx context.Context, step placement.Step) (gateway.Placement, orders.AcquireReply, bool) {
+	d, e := s.d, step.Endpoint
 	address, known := d.owners.ownerAddress(e.ID)
 	if !known || !d.owners.available(address, time.Now()) {
 		return gateway.Placement{}, orders.AcquireReply{Status: orders.NotOwner}, false
 	}
 	permit := d.owners.lastPermit.Add(1)
 	args := d.acquireArgs(s.req, e)
-	args.Permit, args.Bound, args.LoadBound = permit, limits.First, limits.Load
+	args.Permit, args.Bound, args.LoadBound = permit, step.Bounds.First, step.Bounds.Load
 	reply := orders.AcquireReply{Status: orders.Waiting}
 	for {
-		args.Left, args.Life = time.Until(s.plan.WaitDeadline), time.Until(s.req.Deadline)
-		if args.Left <= 0 || ctx.Err() != nil || !d.acceptsRequests(e) {
+		args.Left, args.Life = time.Until(step.WaitUntil), time.Until(s.req.Deadline)
+		if !d.acceptsRequests(e) {
+			return gateway.Placement{}, orders.AcquireReply{Status: orders.Down}, false
+		}
+		if args.Left <= 0 || ctx.Err() != nil {
 			return gateway.Placement{}, reply, false
 		}
 		var ok bool
@@ -168,7 +190,7 @@
 				d.owners.queueUpdate(address, n)
 			})
 		case orders.Waiting:
-			// The request is now queued for the adapter: only WaitDeadline ends the wait.
+			// The request is now queued for the adapter: only WaitUntil ends the wait.
 			args.Bound, args.LoadBound = unbounded, unbounded
 		default:
 			return gateway.Placement{}, reply, false
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -99,6 +99,8 @@
 	sentAt    time.Time
 	// headAt is when the head of the response arrived; zero before.
 	headAt time.Time
+	// partAt is when the first part of the response to the current attempt arrived; zero before.
+	partAt time.Time
 	// runs counts the endpoints that may have run the request, rejections those that have not.
 	runs, rejections int
 	// exclude lists the endpoints that must not get the request again.
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -26,6 +26,8 @@
 	pending []byte
 	// lastID is the ID of the last complete event.
 	lastID string
+	// count is the number of complete events so far.
+	count int
 }
 
 // split takes a part of the stream and returns the events that are complete with it. The result is valid until
@@ -50,6 +52,9 @@
 		return nil, err
 	}
 	e.recordLastID(complete)
+	for _, text := range eventEnds {
+		e.count += bytes.Count(complete, text)
+	}
 	return complete, nil
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -67,6 +67,10 @@
 	Canceled bool
 	// FirstByte is the time from sending the request to the first part of the response; 0 if there was none.
 	FirstByte time.Duration
+	// Ran is the time from the first part of a stream to its end, and Events the number of its events. They are 0
+	// unless the endpoint has sent the whole stream.
+	Ran    time.Duration
+	Events int
 }
 
 // Placement is the assignment of a request to an endpoint.
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -216,10 +216,20 @@
 		_, _ = c.w.Write(rest)
 	}
 	c.recordServed()
-	c.closeResponse(Outcome{FirstByte: c.firstByte})
+	c.closeResponse(c.streamOutcome())
 	return eventDone
 }
 
+// streamOutcome returns the outcome of a stream that has ended as it should. It tells how long the stream took only if
+// one endpoint has sent all of it.
+func (c *call) streamOutcome() Outcome {
+	o := Outcome{FirstByte: c.firstByte}
+	if c.runs == 1 && !c.partAt.IsZero() {
+		o.Ran, o.Events = time.Since(c.partAt), c.relay.events.count
+	}
+	return o
+}
+
 // responseCut handles a response that breaks off.
 func (c *call) responseCut(err error) chart.Event {
 	c.logAttempt("cut_short", err)
@@ -269,13 +279,16 @@
 	c.w.WriteHeader(status)
 }
 
-// recordFirstByte records when the first part of the response has arrived.
+// recordFirstByte records when the first part of the response to an attempt has arrived.
 func (c *call) recordFirstByte() {
-	if c.firstByte > 0 {
+	if !c.partAt.IsZero() {
 		return
 	}
 	now := time.Now()
-	c.firstByte = now.Sub(c.arrived)
+	c.partAt = now
+	if c.firstByte == 0 {
+		c.firstByte = now.Sub(c.arrived)
+	}
 	if c.placement.Started != nil {
 		c.placement.Started(now.Sub(c.sentAt))
 	}
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -26,7 +26,7 @@
 		return c.refuse(e)
 	}
 	c.partsServed = false
-	c.sentAt, c.headAt = time.Now(), time.Time{}
+	c.sentAt, c.headAt, c.partAt = time.Now(), time.Time{}, time.Time{}
 	e := c.placement.Endpoint
 	target := upstream.Target{ID: e.ID, Started: e.Started, Address: e.Address}
 	response, err := c.g.cfg.Upstream.Send(c.ctx, target, c.upstreamRequest())
--- a/pkg/gatewayd/reload.go
+++ b/pkg/gatewayd/reload.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/placement"
 )
 
 // Load returns the current settings.
@@ -118,6 +120,7 @@
 
 // allSettings lists the settings that a reload compares.
 var allSettings = []setting{
+	restartOnly("placement", func(s *Settings) *placement.Mode { return &s.Placement }),
 	reloadable("key_withdrawal", func(s *Settings) *time.Duration { return &s.Bounds.KeyWithdrawal }),
 	reloadable("grace", func(s *Settings) *time.Duration { return &s.Bounds.Grace }),
 	reloadable("memory", func(s *Settings) *int64 { return &s.Limits.MemoryBytes }),
--- a/pkg/gatewayd/settings.go
+++ b/pkg/gatewayd/settings.go
@@ -1,6 +1,10 @@
 package gatewayd
 
-import "time"
+import (
+	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/placement"
+)
 
 // Settings are the settings of one VM's process. Some of them can be changed while the process runs.
 type Settings struct {
@@ -16,6 +20,8 @@
 	FirstStart bool
 	// LogLevel is a logrus level. An empty string stands for info.
 	LogLevel string
+	// Placement selects the logic by which requests are placed; empty stands for placement.Homes.
+	Placement placement.Mode
 }
 
 // Listen holds the addresses that the process listens on, as IP and port.
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -286,6 +286,7 @@
 		PeerClient:  pp.pool,
 		MinOrderGap: s.Bounds.MinOrderGap,
 		Started:     id.started,
+		Placement:   s.Placement,
 		Metrics:     registry,
 		Log:         log,
 	})
@@ -304,6 +305,7 @@
 		RosterAge:     view.endpointsAge,
 		Limits:        limits,
 		Newest:        view.newestVersion,
+		Placement:     s.Placement,
 		Metrics:       registry,
 		Log:           log,
 	})
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -90,6 +90,8 @@
 	// Own is the time to the first token that the request would have at an idle engine. It is the part of
 	// Estimate that is not caused by other requests.
 	Own time.Duration
+	// Run is the expected time from the first token to the end of the response; 0 if it is not known.
+	Run time.Duration
 	// Waited is how long the request has waited for the adapter in this call, and Delay the expected further
 	// wait.
 	Waited time.Duration
@@ -102,8 +104,11 @@
 	// Started is set if the first token has arrived, and First is the time that it took.
 	Started bool
 	First   time.Duration
-	// Ended is set if the request has ended at the engine.
-	Ended bool
+	// Ended is set if the request has ended at the engine. Ran is then the time from the first event of the
+	// response to the last, and Events the number of events; 0 if they are not known.
+	Ended  bool
+	Ran    time.Duration
+	Events int
 	// Missing is set if the engine rejected the request because it did not hold the adapter.
 	Missing bool
 }
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -75,8 +75,10 @@
 	// between. Started is when this process started; it does not know of orders sent before that.
 	MinOrderGap time.Duration
 	Started     time.Time
-	Metrics     metrics.Registry
-	Log         logrus.FieldLogger
+	// Placement selects how the time to the first token is estimated.
+	Placement placement.Mode
+	Metrics   metrics.Registry
+	Log       logrus.FieldLogger
 }
 
 type meters struct {
@@ -102,6 +104,8 @@
 	previousOwners map[string]string
 	// retired contains the workers of engines that this VM owned until recently.
 	retired map[roster.Incarnation]*worker
+	// speeds are the mean speeds of the engines of each group, as far as this VM owns them.
+	speeds map[string]*placement.GroupSpeed
 }
 
 // NewService returns a service that holds no leases. Its workers run until ctx is cancelled.
@@ -111,6 +115,7 @@
 		meters:  meters{orders: metrics.GetOrRegisterCounter("orders.given", cfg.Metrics)},
 		workers: map[roster.Incarnation]*worker{}, leases: map[string]time.Time{}, lostAt: map[string]time.Time{},
 		previousOwners: map[string]string{}, retired: map[roster.Incarnation]*worker{},
+		speeds: map[string]*placement.GroupSpeed{},
 	}
 }
 
@@ -201,6 +206,17 @@
 	s.cfg.Log.WithFields(logrus.Fields{"event": "engine_taken", "endpoint": e.ID, "lease": leaseName}).Info("started sending orders to the engine")
 }
 
+// newLoad returns the load of an engine that this VM has come to own. s.mu must be held.
+func (s *Service) newLoad(group string, spec EngineSpec) placement.Load {
+	if s.cfg.Placement != placement.Cost {
+		return placement.NewLoad(spec.RequestSlots, spec.CacheTokens)
+	}
+	if s.speeds[group] == nil {
+		s.speeds[group] = placement.NewGroupSpeed()
+	}
+	return placement.NewCostLoad(spec.RequestSlots, spec.CacheTokens, s.speeds[group])
+}
+
 func (s *Service) worker(id roster.Incarnation) *worker {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -93,7 +93,7 @@
 			WarmCount:  residency.DefaultWarmCount,
 			Newest:     s.cfg.Newest,
 		}),
-		load:      placement.NewLoad(spec.RequestSlots, spec.CacheTokens),
+		load:      s.newLoad(e.Group, spec),
 		waiters:   map[residency.Key][]*waiter{},
 		cancelled: map[placement.PermitKey]time.Time{},
 		model:     spec.Model,
@@ -390,11 +390,10 @@
 		w.mu.Unlock()
 		return AcquireReply{Status: Offered}
 	}
-	estimate, delay := w.estimate(args), w.adapterDelay(args, key, start)
-	if estimate > args.Bound || delay > args.LoadBound {
-		own := w.load.IdleEstimate(w.unread(args))
+	f, delay := w.load.Forecast(w.work(args), start), w.adapterDelay(args, key, start)
+	if f.First > args.Bound || delay > args.LoadBound {
 		w.mu.Unlock()
-		return AcquireReply{Status: Offered, Estimate: estimate, Own: own, Delay: delay}
+		return AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Delay: delay}
 	}
 	if reply, ok := w.grant(args, key, start); ok {
 		w.mu.Unlock()
@@ -451,20 +450,17 @@
 	w.signal()
 }
 
-// estimate returns the expected time to the first token of a request. w.mu must be held.
-func (w *worker) estimate(args *AcquireArgs) time.Duration {
-	return w.load.Estimate(w.unread(args))
-}
-
-// unread returns the number of a request's prompt tokens that the engine has to process. w.mu must be held.
-func (w *worker) unread(args *AcquireArgs) int {
-	return w.load.Unread(args.Adapter, args.Prompt, args.Tokens)
+// work returns what the engine has to do for a request. w.mu must be held.
+func (w *worker) work(args *AcquireArgs) placement.Work {
+	unread := w.load.Unread(args.Adapter, args.Prompt, args.Tokens)
+	return placement.Work{Unread: unread, Memory: unread + args.Output, Urgency: args.Urgency}
 }
 
 // grant grants a permit if the adapter is usable now. w.mu must be held.
 func (w *worker) grant(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
-	unread := w.unread(args)
-	reply := AcquireReply{Status: Granted, Estimate: w.load.Estimate(unread)}
+	work := w.work(args)
+	f := w.load.Forecast(work, now)
+	reply := AcquireReply{Status: Granted, Estimate: f.First, Run: f.Run}
 	if _, gone := w.cancelled[placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}]; gone || !w.planner.Ready() {
 		return AcquireReply{}, false
 	}
@@ -476,7 +472,7 @@
 		reply.Version = version
 	}
 	w.load.CachePrompt(args.Adapter, args.Prompt)
-	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, unread, now.Add(args.Life+permitGrace))
+	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, work, now.Add(args.Life+permitGrace))
 	return reply, true
 }
 
@@ -508,13 +504,14 @@
 		return false
 	}
 	if n.Started {
-		w.load.MarkStarted(key, n.First)
+		w.load.MarkStarted(key, n.First, now)
 	}
 	if n.Missing {
 		w.planner.MarkMissing(residency.Key{Model: w.model, Name: adapter}, now)
 		w.signal()
 	}
 	if n.Ended {
+		w.load.RecordRun(key, n.Ran, n.Events, now)
 		w.endPermit(key, now)
 		if len(w.waiters) > 0 {
 			w.signal()
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -36,10 +36,50 @@
 	// queued is the number of tokens that the engine had to process when the permit was granted, including
 	// the request's own.
 	queued  int
+	work    Work
 	started bool
 	expires time.Time
 }
 
+// ranks is the number of urgencies that are told apart. Less urgent requests count as the least urgent of them.
+const ranks = 10
+
+// Work is what an engine has to do for a request.
+type Work struct {
+	// Unread is the number of prompt tokens that the engine has to process, and Memory the number of tokens of its
+	// cache that the request takes up besides the parts that are cached already.
+	Unread, Memory int
+	// Urgency ranks the request; 0 is the most urgent.
+	Urgency int
+}
+
+// rank returns the urgency as an index below ranks.
+func (w Work) rank() int { return min(max(w.Urgency, 0), ranks-1) }
+
+// byRank is a sum of work for each urgency.
+type byRank [ranks]Work
+
+func (b *byRank) add(w Work)    { b[w.rank()].Unread += w.Unread; b[w.rank()].Memory += w.Memory }
+func (b *byRank) remove(w Work) { b[w.rank()].Unread -= w.Unread; b[w.rank()].Memory -= w.Memory }
+
+// upTo returns the sum of the work that is at least as urgent as w.
+func (b *byRank) upTo(w Work) (unread, memory int) {
+	for _, other := range b[:w.rank()+1] {
+		unread += other.Unread
+		memory += other.Memory
+	}
+	return unread, memory
+}
+
+// Forecast is the expected course of a request at an engine.
+type Forecast struct {
+	// First is the time to the first token, without the wait for the adapter. Own is the part of it that the request
+	// would take at an idle engine.
+	First, Own time.Duration
+	// Run is the time from the first token to the end of the response; 0 if it is not known.
+	Run time.Duration
+}
+
 // Load estimates how busy an engine is from the permits granted for it. It is not safe for concurrent use.
 type Load struct {
 	permits map[PermitKey]*permit
@@ -49,6 +89,8 @@
 	requestSlots int
 	tokenTime    time.Duration
 	cache        promptCache
+	// cost, if not nil, is what is needed for forecasts by cost.
+	cost *costLoad
 }
 
 // NewLoad returns the load of an engine without permits. The engine runs that many requests at once, and its prompt
@@ -77,22 +119,37 @@
 	return time.Duration(max(beyond, 0) / (1 - contentionShare) * float64(maxContentionDelay))
 }
 
+// Forecast returns the expected course of a request.
+func (l *Load) Forecast(w Work, now time.Time) Forecast {
+	if l.cost != nil {
+		return l.cost.forecast(w, l.running, l.requestSlots, now)
+	}
+	return Forecast{First: l.Estimate(w.Unread), Own: l.IdleEstimate(w.Unread)}
+}
+
 // Add records a granted permit.
-func (l *Load) Add(key PermitKey, adapter string, tokens int, expires time.Time) {
-	l.unread += tokens
+func (l *Load) Add(key PermitKey, adapter string, w Work, expires time.Time) {
+	l.unread += w.Unread
 	l.running++
-	l.permits[key] = &permit{adapter: adapter, unread: tokens, queued: l.unread, expires: expires}
+	p := &permit{adapter: adapter, unread: w.Unread, queued: l.unread, work: w, expires: expires}
+	l.permits[key] = p
+	if l.cost != nil {
+		p.queued = l.cost.add(w)
+	}
 }
 
 // MarkStarted records that a request's first token has arrived that long after the request was sent, and
 // updates the average time per token.
-func (l *Load) MarkStarted(key PermitKey, after time.Duration) {
+func (l *Load) MarkStarted(key PermitKey, after time.Duration, now time.Time) {
 	p := l.permits[key]
 	if p == nil || p.started {
 		return
 	}
 	p.started = true
 	l.unread -= p.unread
+	if l.cost != nil {
+		l.cost.started(p.work, after, p.queued, now)
+	}
 	if p.queued <= 0 {
 		return
 	}
@@ -112,9 +169,20 @@
 	if !p.started {
 		l.unread -= p.unread
 	}
+	if l.cost != nil {
+		l.cost.remove(p.work, p.started)
+	}
 	return p.adapter, true
 }
 
+// RecordRun records that a response has ended that long after its first event, after that many events. It has no
+// effect if there is no such permit.
+func (l *Load) RecordRun(key PermitKey, ran time.Duration, events int, now time.Time) {
+	if l.cost != nil && l.permits[key] != nil {
+		l.cost.speed.ended(ran, events, now)
+	}
+}
+
 // Adapter returns the adapter of the request that a permit was granted for. It reports false if there is no such
 // permit.
 func (l *Load) Adapter(key PermitKey) (string, bool) {
--- a/pkg/placement/load_test.go
+++ b/pkg/placement/load_test.go
@@ -14,8 +14,8 @@
 	l := NewLoad(64, 1000)
 	for i := range 200 {
 		key := PermitKey{"i", uint64(i)}
-		l.Add(key, "a", 1000, time.Time{})
-		l.MarkStarted(key, baseFirstTokenTime+100*time.Millisecond)
+		l.Add(key, "a", Work{Unread: 1000}, time.Time{})
+		l.MarkStarted(key, baseFirstTokenTime+100*time.Millisecond, time.Time{})
 		l.Remove(key)
 	}
 	require.InDelta(t, 100*time.Microsecond, l.tokenTime, float64(2*time.Microsecond))
--- a/pkg/placement/search.go
+++ b/pkg/placement/search.go
@@ -17,6 +17,8 @@
 	Ask Action = iota
 	// Send means to ask for a permit at the chosen engine, with bounds that only a changed state exceeds.
 	Send
+	// Wait means to wait for a while before the next step.
+	Wait
 	// Refuse means that the request would have to wait too long at every engine.
 	Refuse
 	// Unreachable means that no owner has replied.
@@ -28,6 +30,10 @@
 	Action   Action
 	Endpoint roster.Endpoint
 	Bounds   Bounds
+	// WaitUntil is until when the request may wait for its adapter there.
+	WaitUntil time.Time
+	// For is how long to wait.
+	For time.Duration
 	// AddHome says that the key of the request needs a further home.
 	AddHome bool
 	// Prefetch, if not nil, is an engine that should load the adapter for later requests.
@@ -36,6 +42,16 @@
 	RetryAfter time.Duration
 }
 
+// Plan is a search of one request for an engine. It is not safe for concurrent use.
+type Plan interface {
+	// Next returns the next step.
+	Next(now time.Time) Step
+	// Offered records that the request would have to wait at an engine. loadDelay is the expected wait for the adapter.
+	Offered(e roster.Endpoint, f Forecast, loadDelay time.Duration)
+	// End ends the search. granted says that the request goes to an engine.
+	End(granted bool, now time.Time)
+}
+
 // Search is the search of one request for an engine among its homes. It is not safe for concurrent use.
 type Search struct {
 	req Request
@@ -73,17 +89,20 @@
 	return s.chooseOffer(now)
 }
 
-// Offered records that the request would have to wait at an engine. estimate is the expected time to the first token,
-// own the part of it that is the request's own work, and loadDelay the expected wait for the adapter.
-func (s *Search) Offered(e roster.Endpoint, estimate, own, loadDelay time.Duration) {
+// Offered implements Plan.
+func (s *Search) Offered(e roster.Endpoint, f Forecast, loadDelay time.Duration) {
 	if !s.sent {
-		s.offers = append(s.offers, Offer{e, estimate, estimate - own, loadDelay})
+		s.offers = append(s.offers, Offer{e, f.First, f.First - f.Own, loadDelay})
 	}
 }
 
+// End implements Plan.
+func (s *Search) End(bool, time.Time) {}
+
 // ask returns the step that asks for an immediate permit at a home.
 func (s *Search) ask(e roster.Endpoint) Step {
-	return Step{Action: Ask, Endpoint: e, Bounds: Bounds{s.req.ObjectiveShare(immediateWaitShare), s.req.ObjectiveShare(immediateLoadShare)}}
+	bounds := Bounds{s.req.ObjectiveShare(immediateWaitShare), s.req.ObjectiveShare(immediateLoadShare)}
+	return Step{Action: Ask, Endpoint: e, Bounds: bounds, WaitUntil: s.req.WaitDeadline}
 }
 
 // allHomesBusy reports whether all homes hold the adapter and have long queues, so that another home would
@@ -108,7 +127,8 @@
 	s.sent = true
 	// The state of the home may have changed a little since the offer.
 	margin := s.req.ObjectiveShare(immediateWaitShare)
-	return Step{Action: Send, Endpoint: best.Endpoint, Bounds: Bounds{best.Estimate + margin, best.LoadDelay + margin}, Prefetch: s.prefetch(best)}
+	bounds := Bounds{best.Estimate + margin, best.LoadDelay + margin}
+	return Step{Action: Send, Endpoint: best.Endpoint, Bounds: bounds, WaitUntil: s.req.WaitDeadline, Prefetch: s.prefetch(best)}
 }
 
 // prefetch returns a home that does not hold the adapter and is much less busy than the chosen one, so that later
