placement: search beyond the homes for the engine that finishes soonest

Cause: a request is refused when its three homes are busy, although other engines have capacity. Before a request is refused, the dispatcher asks the best two engines known to it; another failure domain counts as a quarter of the objective, and a request that is in time elsewhere moves only for a gain of that size to an engine that holds its adapter. The work of less urgent requests that a request would delay counts half, so that large requests of low rank are not overtaken everywhere.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -61,7 +61,7 @@
 	hotKeys   *placement.HotKeys
 	reports   *reportCache
 	returns   placement.ReturnSchedule
-	admission *placement.Admission
+	costs     placement.CostContext
 }
 
 // New returns a Dispatcher.
@@ -71,11 +71,13 @@
 		health:    newHealthTracker(cfg.Metrics, cfg.Log),
 		locations: newAdapterLocations(),
 		hotKeys:   placement.NewHotKeys(),
-		admission: placement.NewAdmission(),
-		reports:   newReportCache(cfg.Engines, cfg.Log),
-		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
+		costs: placement.CostContext{
+			FailureDomain: cfg.FailureDomain, Admission: placement.NewAdmission(), Known: placement.NewKnownEngines(),
+		},
+		reports: newReportCache(cfg.Engines, cfg.Log),
+		owners:  newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
-	metrics.NewRegisteredFunctionalGauge(metricHeld, cfg.Metrics, d.admission.Held)
+	metrics.NewRegisteredFunctionalGauge(metricHeld, cfg.Metrics, d.costs.Admission.Held)
 	return d
 }
 
@@ -91,6 +93,7 @@
 		d.health.sweep(now)
 		d.locations.sweep(now)
 		d.hotKeys.Sweep(now)
+		d.costs.Known.Sweep(now)
 		d.reports.sweep(now)
 	})
 	d.owners.run(ctx)
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -88,7 +88,7 @@
 func (d *Dispatcher) newPlan(req gateway.Request, r placement.Request, ranked []roster.Endpoint, homeCount int) placement.Plan {
 	session := placement.SessionKey(req.ID, req.Terms)
 	if d.cfg.Placement == placement.Cost {
-		return placement.NewCostSearch(r, req.Group.Name, session, ranked, homeCount, d.admission)
+		return placement.NewCostSearch(d.costs, r, req.Group.Name, session, ranked, homeCount)
 	}
 	return placement.NewSearch(r, session, ranked, homeCount)
 }
@@ -122,9 +122,10 @@
 		return chosen, ok
 	}
 	s.replies = append(s.replies, describeReply(step.Endpoint, reply))
+	plan.Named(sparesOf(reply), time.Now())
 	switch reply.Status {
 	case orders.Offered, orders.Waiting:
-		plan.Offered(step.Endpoint, placement.Forecast{First: reply.Estimate, Own: reply.Own, Run: reply.Run}, reply.Delay)
+		plan.Offered(step.Endpoint, placement.Forecast{First: reply.Estimate, Own: reply.Own, Run: reply.Run, Displaced: reply.Displaced}, reply.Delay)
 	case orders.NotOwner:
 		if step.Action == placement.Ask {
 			return s.placeAtKnownLocation(step.Endpoint)
@@ -133,6 +134,18 @@
 	return gateway.Placement{}, false
 }
 
+// sparesOf returns the engines that an owner has named as its least loaded ones.
+func sparesOf(reply orders.AcquireReply) []placement.Spare {
+	if len(reply.Spares) == 0 {
+		return nil
+	}
+	spares := make([]placement.Spare, len(reply.Spares))
+	for i, e := range reply.Spares {
+		spares[i] = placement.Spare{Incarnation: roster.Incarnation{ID: e.Endpoint, Started: e.Started}, Queue: e.Queue, Load: e.Load}
+	}
+	return spares
+}
+
 // describeReply formats an owner's reply for the log: the endpoint, the status, and the expected times if there
 // are any.
 func describeReply(e roster.Endpoint, reply orders.AcquireReply) string {
@@ -169,7 +182,8 @@
 	}
 	permit := d.owners.lastPermit.Add(1)
 	args := d.acquireArgs(s.req, e)
-	args.Permit, args.Bound, args.LoadBound = permit, step.Bounds.First, step.Bounds.Load
+	args.Permit = permit
+	args.Bound, args.LoadBound, args.TotalBound = step.Bounds.First, step.Bounds.Load, step.Bounds.Total
 	reply := orders.AcquireReply{Status: orders.Waiting}
 	for {
 		args.Left, args.Life = time.Until(step.WaitUntil), time.Until(s.req.Deadline)
@@ -191,7 +205,7 @@
 			})
 		case orders.Waiting:
 			// The request is now queued for the adapter: only WaitUntil ends the wait.
-			args.Bound, args.LoadBound = unbounded, unbounded
+			args.Bound, args.LoadBound, args.TotalBound = unbounded, unbounded, 0
 		default:
 			return gateway.Placement{}, reply, false
 		}
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -71,6 +71,9 @@
 	// Bound is the longest expected time to the first token that the caller accepts, and LoadBound the
 	// longest expected wait for the adapter.
 	Bound, LoadBound time.Duration
+	// TotalBound, if not 0, bounds the expected time to the first token together with the work of less urgent
+	// requests that the request would delay.
+	TotalBound time.Duration
 	// Prefetch asks for the adapter to be loaded if no request is waiting for a load. No permit is granted.
 	Prefetch bool
 	// Ended contains the updates to the caller's permits since its last call: requests that have started or
@@ -92,10 +95,24 @@
 	Own time.Duration
 	// Run is the expected time from the first token to the end of the response; 0 if it is not known.
 	Run time.Duration
+	// Displaced is the time that the engine needs for the prompts of less urgent requests, which the request delays.
+	Displaced time.Duration
 	// Waited is how long the request has waited for the adapter in this call, and Delay the expected further
 	// wait.
 	Waited time.Duration
 	Delay  time.Duration
+	// Spares are the least loaded engines of the same group that the owner owns, if the request would have to wait.
+	Spares []Spare
+}
+
+// Spare is one of the least loaded engines of an owner.
+type Spare struct {
+	// Endpoint and Started identify the engine's process.
+	Endpoint string
+	Started  int64
+	// Queue is the expected time until a request of the same urgency would begin there, and Load the expected wait
+	// for its adapter.
+	Queue, Load time.Duration
 }
 
 // PermitUpdate reports to the owner of an engine that the request of a permit has started or ended.
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -106,6 +106,8 @@
 	retired map[roster.Incarnation]*worker
 	// speeds are the mean speeds of the engines of each group, as far as this VM owns them.
 	speeds map[string]*placement.GroupSpeed
+	// spareLists are the last choices of the least loaded engines.
+	spareLists map[spareKey]spareList
 }
 
 // NewService returns a service that holds no leases. Its workers run until ctx is cancelled.
@@ -115,7 +117,7 @@
 		meters:  meters{orders: metrics.GetOrRegisterCounter("orders.given", cfg.Metrics)},
 		workers: map[roster.Incarnation]*worker{}, leases: map[string]time.Time{}, lostAt: map[string]time.Time{},
 		previousOwners: map[string]string{}, retired: map[roster.Incarnation]*worker{},
-		speeds: map[string]*placement.GroupSpeed{},
+		speeds: map[string]*placement.GroupSpeed{}, spareLists: map[spareKey]spareList{},
 	}
 }
 
@@ -167,6 +169,7 @@
 	view := s.cfg.Roster.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sweepSpares()
 	for id, w := range s.workers {
 		e, ok := view.Endpoint(id.ID)
 		if !ok || e.Incarnation != id || !s.holdsLease(w.lease) {
@@ -237,6 +240,9 @@
 	}
 	*reply = w.acquire(s.ctx, args)
 	reply.Owner = s.cfg.Self
+	if reply.Status == Offered && !args.Prefetch && s.cfg.Placement == placement.Cost {
+		reply.Spares = s.spares(w, args, time.Now())
+	}
 	return nil
 }
 
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -391,9 +391,9 @@
 		return AcquireReply{Status: Offered}
 	}
 	f, delay := w.load.Forecast(w.work(args), start), w.adapterDelay(args, key, start)
-	if f.First > args.Bound || delay > args.LoadBound {
+	if bounds := (placement.Bounds{First: args.Bound, Load: args.LoadBound, Total: args.TotalBound}); !bounds.Accept(f, delay) {
 		w.mu.Unlock()
-		return AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Delay: delay}
+		return AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Displaced: f.Displaced, Delay: delay}
 	}
 	if reply, ok := w.grant(args, key, start); ok {
 		w.mu.Unlock()
@@ -472,7 +472,7 @@
 		reply.Version = version
 	}
 	w.load.CachePrompt(args.Adapter, args.Prompt)
-	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, work, now.Add(args.Life+permitGrace))
+	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, work, f, now.Add(args.Life+permitGrace))
 	return reply, true
 }
 
--- a/pkg/placement/cost_load.go
+++ b/pkg/placement/cost_load.go
@@ -24,8 +24,10 @@
 	s := c.speed.at(now)
 	ahead, _ := c.unread.upTo(w)
 	own := s.Event + time.Duration(w.Unread)*s.Token
-	first := own + time.Duration(ahead)*s.Token + c.slotWait(running, slots, s) + c.memoryWait(w, s)
-	return Forecast{First: first, Own: own, Run: s.Run}
+	other := c.slotWait(running, slots, s) + c.memoryWait(w, s)
+	first := own + time.Duration(ahead)*s.Token + other
+	all, _ := c.unread.upTo(Work{Urgency: ranks - 1})
+	return Forecast{First: first, Own: own, Run: s.Run, Displaced: time.Duration(all-ahead) * s.Token, other: other}
 }
 
 // slotWait returns the time until a request slot is free. An engine gives a free slot to the most urgent request, so
@@ -57,9 +59,9 @@
 }
 
 // started records the first token of a request.
-func (c *costLoad) started(w Work, after time.Duration, queued int, now time.Time) {
-	c.unread.remove(w)
-	c.speed.firstEvent(after, queued, now)
+func (c *costLoad) started(p *permit, after time.Duration, now time.Time) {
+	c.unread.remove(p.work)
+	c.speed.firstEvent(after-p.otherWait, p.queued, now)
 }
 
 // remove removes the work of a permit.
--- a/pkg/placement/cost_search.go
+++ b/pkg/placement/cost_search.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -29,45 +31,66 @@
 	maxHold = time.Second
 	// askAgain is the number of engines that a waiting request asks each time.
 	askAgain = 2
+	// maxOthers is the number of engines beyond its homes that a request asks.
+	maxOthers = 2
+	// otherDomainShare is the part of the objective by which an engine in another failure domain must be sooner:
+	// bytes between failure domains are expensive.
+	otherDomainShare = 0.25
+	// displacedWeight is the part of the delay of less urgent requests that counts like a wait of the request itself.
+	displacedWeight = 0.5
+	// assumedLoad is the wait for an adapter at an engine of which nothing else is known.
+	assumedLoad = 300 * time.Millisecond
 )
 
+// CostContext is what the searches of a VM by expected cost share.
+type CostContext struct {
+	// FailureDomain is that of the VM.
+	FailureDomain string
+	Admission     *Admission
+	Known         *KnownEngines
+}
+
 // CostSearch is the search of one request by expected cost. It is not safe for concurrent use.
 type CostSearch struct {
-	req       Request
-	group     string
-	admission *Admission
-	// homes are the engines to ask, one after the other. spare is asked if they are all busy; nil if there is
-	// none.
-	homes []roster.Endpoint
-	spare *roster.Endpoint
-	asked int
-	// offers are the engines where the request would have to wait.
+	CostContext
+	req   Request
+	group string
+	// session spreads the engines that are asked without any knowledge.
+	session uint64
+	// ranked are all engines. homes are those to ask, one after the other.
+	ranked []roster.Endpoint
+	homes  []roster.Endpoint
+	// homeCount is the number of homes of the key; spare says that another one may be added to them.
+	homeCount int
+	spare     bool
+	asked     int
+	others    int
+	// offers are the engines where the request would have to wait, loads the waits for the adapter that owners have
+	// named for others.
 	offers []Offer
-	// sending is the engine that the request is about to go to; sends counts these.
-	sending Offer
-	sends   int
-	// run is the last expected time from the first token to the end of the response.
-	run  time.Duration
-	held bool
+	loads  map[roster.Incarnation]time.Duration
+	// own and run are the last expected time of the request's own work, and of the rest of the response.
+	own, run time.Duration
+	sends    int
+	held     bool
 }
 
 // NewCostSearch returns the search of a request of a group among the engines ranked for its key, of which the first
 // homeCount are its homes. The caller must end the search with End.
-func NewCostSearch(req Request, group, session string, ranked []roster.Endpoint, homeCount int, a *Admission) *CostSearch {
-	s := &CostSearch{req: req, group: group, admission: a, homes: ChooseHomes(session, ranked, homeCount)}
-	if homeCount < len(ranked) {
-		s.spare = &ranked[homeCount]
+func NewCostSearch(c CostContext, req Request, group, session string, ranked []roster.Endpoint, homeCount int) *CostSearch {
+	return &CostSearch{
+		CostContext: c, req: req, group: group, session: xxhash.Sum64String(session), ranked: ranked,
+		homes: ChooseHomes(session, ranked, homeCount), homeCount: homeCount, spare: homeCount < len(ranked),
 	}
-	return s
 }
 
 // End ends the search. granted says that the request goes to an engine.
 func (s *CostSearch) End(granted bool, now time.Time) {
 	if !s.req.OverLimit {
-		s.admission.record(s.group, s.req.Urgency, granted && !s.held, now)
+		s.Admission.record(s.group, s.req.Urgency, granted && !s.held, now)
 	}
 	if s.held {
-		s.admission.release()
+		s.Admission.release()
 	}
 }
 
@@ -77,26 +100,39 @@
 		s.asked++
 		return s.ask(s.homes[s.asked-1], now)
 	}
-	if s.spare != nil && s.sends == 0 && s.allHomesBusy() {
-		step := s.ask(*s.spare, now)
-		s.spare, step.AddHome = nil, true
+	if s.spare && s.sends == 0 && s.allHomesBusy() {
+		s.spare = false
+		step := s.ask(s.ranked[s.homeCount], now)
+		step.AddHome = true
 		return step
 	}
 	return s.choose(now)
 }
 
-// Offered records that the request would have to wait at an engine.
+// Offered implements Plan.
 func (s *CostSearch) Offered(e roster.Endpoint, f Forecast, loadDelay time.Duration) {
-	s.run = f.Run
+	s.own, s.run = f.Own, f.Run
 	s.offers = slices.DeleteFunc(s.offers, func(o Offer) bool { return o.Endpoint.Incarnation == e.Incarnation })
-	s.offers = append(s.offers, Offer{e, f.First, f.First - f.Own, loadDelay})
+	s.offers = append(s.offers, Offer{e, f.First, f.First - f.Own, loadDelay, f.Displaced})
+}
+
+// Named implements Plan.
+func (s *CostSearch) Named(spares []Spare, now time.Time) {
+	s.Known.Record(s.group, spares, now)
+	if s.loads == nil && len(spares) > 0 {
+		s.loads = map[roster.Incarnation]time.Duration{}
+	}
+	for _, spare := range spares {
+		s.loads[spare.Incarnation] = spare.Load
+	}
 }
 
 // ask returns the step that asks for an immediate permit. A request that waits takes what it can use.
 func (s *CostSearch) ask(e roster.Endpoint, now time.Time) Step {
-	bounds := Bounds{s.req.ObjectiveShare(immediateWaitShare), s.req.ObjectiveShare(immediateLoadShare)}
+	bounds := Bounds{First: s.req.ObjectiveShare(immediateWaitShare), Load: s.req.ObjectiveShare(immediateLoadShare)}
+	bounds.Total = bounds.First
 	if s.held {
-		bounds.First = s.sending.Estimate - s.sending.Queue + s.lateQueue(now)
+		bounds.First, bounds.Total = s.own+s.lateQueue(now), 0
 	}
 	return Step{Action: Ask, Endpoint: e, Bounds: bounds, WaitUntil: s.req.WaitDeadline}
 }
@@ -108,18 +144,36 @@
 	})
 }
 
-// choose returns the step that sends the request to the engine with the shortest wait, lets it wait for one, or
-// refuses it.
+// price returns the wait at an engine, with penalties for the less urgent requests that wait longer and for other
+// failure domains.
+func (s *CostSearch) price(o Offer) time.Duration {
+	price := o.wait() + time.Duration(displacedWeight*float64(o.Displaced))
+	if o.Endpoint.FailureDomain != s.FailureDomain {
+		price += s.req.ObjectiveShare(otherDomainShare)
+	}
+	return price
+}
+
+func (s *CostSearch) comparePrice(a, b Offer) int { return cmp.Compare(s.price(a), s.price(b)) }
+
+// choose returns the step that sends the request to the engine with the shortest wait, asks other engines, lets the
+// request wait, or refuses it.
 func (s *CostSearch) choose(now time.Time) Step {
 	if len(s.offers) == 0 {
 		return Step{Action: Unreachable}
 	}
-	best := slices.MinFunc(s.offers, func(a, b Offer) int { return cmp.Compare(a.wait(), b.wait()) })
-	if s.sends < maxSends && s.admits(best, now) {
+	best := slices.MinFunc(s.offers, s.comparePrice)
+	inTime := s.inTime(best, now)
+	if s.others < maxOthers && s.sends == 0 {
+		if e, ok := s.other(best, inTime, now); ok {
+			s.others++
+			s.Known.lengthen(s.group, e.Incarnation, s.own)
+			return s.ask(e, now)
+		}
+	}
+	if s.sends < maxSends && (inTime || s.admitsLate(best, now)) {
 		s.sends++
-		// The state of the engine may have changed a little since the offer.
-		margin := s.req.ObjectiveShare(immediateWaitShare)
-		return Step{Action: Send, Endpoint: best.Endpoint, Bounds: Bounds{best.Estimate + margin, best.LoadDelay + margin}, WaitUntil: s.waitUntil(best)}
+		return Step{Action: Send, Endpoint: best.Endpoint, Bounds: s.sendBounds(best, inTime, now), WaitUntil: s.waitUntil()}
 	}
 	if s.mayHold(best, now) {
 		return s.hold(best, now)
@@ -127,20 +181,83 @@
 	return Step{Action: Refuse, RetryAfter: s.retryAfter(best)}
 }
 
-// admits reports whether a request that goes to the engine is served in time, or late without making others late.
-func (s *CostSearch) admits(o Offer, now time.Time) bool {
-	finish := now.Sub(s.req.Arrived) + o.Estimate + o.LoadDelay
-	if finish <= s.req.ObjectiveShare(s.inTimeShare(now)) {
-		return true
+// sendBounds returns the bounds with which a request goes to the engine. The engine may have become busier since the
+// offer, but not so much that the request would no longer be in time.
+func (s *CostSearch) sendBounds(o Offer, inTime bool, now time.Time) Bounds {
+	margin := s.req.ObjectiveShare(immediateWaitShare)
+	b := Bounds{First: o.Estimate + margin, Load: o.LoadDelay + margin}
+	if inTime {
+		b.First = min(b.First, s.req.ObjectiveShare(s.inTimeShare(now))-now.Sub(s.req.Arrived)-o.LoadDelay)
+	}
+	return b
+}
+
+// other returns the best engine that has not been asked, if the request should be sooner there than at the best one
+// that has. A request that is in time goes elsewhere only if that is much sooner: loads of adapters are limited.
+func (s *CostSearch) other(best Offer, inTime bool, now time.Time) (roster.Endpoint, bool) {
+	var found roster.Endpoint
+	least := s.price(best)
+	if inTime {
+		least -= s.req.ObjectiveShare(otherDomainShare)
+	}
+	ok := false
+	queues := s.Known.queues(s.group, now)
+	for _, e := range s.ranked {
+		queue, known := queues[e.Incarnation]
+		if !known || s.hasAsked(e) {
+			continue
+		}
+		load, named := s.loads[e.Incarnation]
+		if !named {
+			load = assumedLoad
+		}
+		if inTime && load > 0 {
+			continue
+		}
+		if price := s.price(Offer{Endpoint: e, Estimate: queue + s.own, Queue: queue, LoadDelay: load}); price < least {
+			found, least, ok = e, price, true
+		}
 	}
+	if !ok && !inTime && len(s.loads) == 0 {
+		return s.anyOther()
+	}
+	return found, ok
+}
+
+// anyOther returns an engine that has not been asked, for a request that no owner has named another engine to.
+func (s *CostSearch) anyOther() (roster.Endpoint, bool) {
+	for i := range s.ranked {
+		e := s.ranked[(s.session+uint64(s.others*7+i))%uint64(len(s.ranked))]
+		if !s.hasAsked(e) {
+			return e, true
+		}
+	}
+	return roster.Endpoint{}, false
+}
+
+func (s *CostSearch) hasAsked(e roster.Endpoint) bool {
+	return slices.ContainsFunc(s.offers, func(o Offer) bool { return o.Endpoint.Incarnation == e.Incarnation })
+}
+
+// inTime reports whether the first token is expected in time at the engine.
+func (s *CostSearch) inTime(o Offer, now time.Time) bool {
+	return now.Sub(s.req.Arrived)+o.Estimate+o.LoadDelay <= s.req.ObjectiveShare(s.inTimeShare(now))
+}
+
+// admitsLate reports whether a request that will be late at the engine is served without making others late.
+func (s *CostSearch) admitsLate(o Offer, now time.Time) bool {
 	if o.Queue > s.lateQueue(now) || o.LoadDelay > s.req.ObjectiveShare(immediateLoadShare) {
 		return false
 	}
-	return now.Add(o.Estimate + o.LoadDelay).Before(s.waitUntil(o))
+	return now.Add(o.Estimate + o.LoadDelay).Before(s.waitUntil())
+}
+
+// yieldShare returns the part of its waits that a request keeps while more urgent ones are not served at once.
+func (s *CostSearch) yieldShare(now time.Time) float64 {
+	return max(1-s.Admission.pressure(s.group, s.req.Urgency, now), minYieldShare)
 }
 
-// inTimeShare returns the multiple of the objective within which the first token must be expected. It shrinks for a
-// request while more urgent ones are not served at once.
+// inTimeShare returns the multiple of the objective within which the first token must be expected.
 func (s *CostSearch) inTimeShare(now time.Time) float64 {
 	share := inTimeShare
 	switch {
@@ -149,13 +266,13 @@
 	case s.req.Urgency > 0:
 		share = lessUrgentInTimeShare
 	}
-	return share * max(1-s.admission.pressure(s.group, s.req.Urgency, now), minYieldShare)
+	return share * s.yieldShare(now)
 }
 
 // lateQueue returns the longest queue that a request joins that will be late.
 func (s *CostSearch) lateQueue(now time.Time) time.Duration {
 	if !s.first() {
-		return s.req.ObjectiveShare(immediateWaitShare * max(1-s.admission.pressure(s.group, s.req.Urgency, now), minYieldShare))
+		return s.req.ObjectiveShare(immediateWaitShare * s.yieldShare(now))
 	}
 	limit := max(s.req.Deadline.Sub(s.req.Arrived), 1)
 	waited := min(float64(now.Sub(s.req.Arrived))/float64(limit), 1)
@@ -167,7 +284,7 @@
 
 // waitUntil returns when the first token must be there at the latest. Requests of the highest rank use their time
 // limit, less the time for the rest of the response.
-func (s *CostSearch) waitUntil(o Offer) time.Time {
+func (s *CostSearch) waitUntil() time.Time {
 	if !s.first() {
 		return s.req.WaitDeadline
 	}
@@ -176,25 +293,22 @@
 
 // mayHold reports whether the request may wait for an engine to become less busy, and counts it if it does.
 func (s *CostSearch) mayHold(best Offer, now time.Time) bool {
-	own := best.Estimate - best.Queue + best.LoadDelay
-	if !s.first() || now.Add(own+minHold).After(s.waitUntil(best)) {
+	if !s.first() || now.Add(s.own+best.LoadDelay+minHold).After(s.waitUntil()) {
 		return false
 	}
-	s.held = s.held || s.admission.hold()
+	s.held = s.held || s.Admission.hold()
 	return s.held
 }
 
 // hold returns the step that lets the request wait. It then asks the engines that were the least busy.
 func (s *CostSearch) hold(best Offer, now time.Time) Step {
-	s.sending = best
-	slices.SortStableFunc(s.offers, func(a, b Offer) int { return cmp.Compare(a.wait(), b.wait()) })
-	s.homes = s.homes[:0:0]
+	slices.SortStableFunc(s.offers, s.comparePrice)
+	s.homes = nil
 	for _, o := range s.offers[:min(askAgain, len(s.offers))] {
 		s.homes = append(s.homes, o.Endpoint)
 	}
-	s.offers, s.asked, s.sends, s.spare = nil, 0, 0, nil
-	excess := best.Queue - s.lateQueue(now)
-	return Step{Action: Wait, For: min(max(excess, minHold), maxHold)}
+	s.offers, s.loads, s.asked, s.others, s.sends, s.spare = nil, nil, 0, 0, 0, false
+	return Step{Action: Wait, For: min(max(best.Queue-s.lateQueue(now), minHold), maxHold)}
 }
 
 // retryAfter returns the time after which a refused caller should come back: when the queue of the engine is expected
--- a/pkg/placement/cost_search_test.go
+++ b/pkg/placement/cost_search_test.go
@@ -13,6 +13,10 @@
 }
 
 // askAll follows a plan while every engine offers the same forecast, and returns the first step that is not Ask.
+func newTestSearch(a *Admission, r Request, ids ...string) *CostSearch {
+	return NewCostSearch(CostContext{Admission: a, Known: NewKnownEngines()}, r, "g", "", endpoints(ids...), len(ids))
+}
+
 func askAll(p Plan, f Forecast, now time.Time) Step {
 	for {
 		step := p.Next(now)
@@ -26,7 +30,7 @@
 // Guards against the most urgent requests being refused, with a time limit of ten seconds, for a queue of a second.
 func TestHighestRankWaitsWithinItsTimeLimit(t *testing.T) {
 	a := NewAdmission()
-	s := NewCostSearch(rankedRequest(0), "g", "", endpoints("a", "b", "c"), 3, a)
+	s := newTestSearch(a, rankedRequest(0), "a", "b", "c")
 	busy := Forecast{First: 1500 * time.Millisecond, Own: 100 * time.Millisecond, Run: 500 * time.Millisecond}
 	now := start
 	step := askAll(s, busy, now)
@@ -59,7 +63,7 @@
 		{2 * time.Second, 250 * time.Millisecond, Send},
 		{8 * time.Second, 400 * time.Millisecond, Send},
 	} {
-		s := NewCostSearch(rankedRequest(0), "g", "", endpoints("a", "b", "c"), 3, NewAdmission())
+		s := newTestSearch(NewAdmission(), rankedRequest(0), "a", "b", "c")
 		require.Equal(t, c.want, askAll(s, forecast(c.queue), start.Add(c.waited)).Action, "%+v", c)
 	}
 }
@@ -69,7 +73,7 @@
 	a := NewAdmission()
 	f := Forecast{First: 600 * time.Millisecond, Own: 100 * time.Millisecond}
 	action := func(urgency int) Action {
-		return askAll(NewCostSearch(rankedRequest(urgency), "g", "", endpoints("a", "b", "c"), 3, a), f, start).Action
+		return askAll(newTestSearch(a, rankedRequest(urgency), "a", "b", "c"), f, start).Action
 	}
 	require.Equal(t, []Action{Send, Send, Send}, []Action{action(0), action(1), action(2)})
 	for range 10 {
@@ -89,9 +93,9 @@
 	a := NewAdmission()
 	f := Forecast{First: 3 * time.Second, Own: 100 * time.Millisecond}
 	for range maxHeld {
-		require.Equal(t, Wait, askAll(NewCostSearch(rankedRequest(0), "g", "", endpoints("a"), 1, a), f, start).Action)
+		require.Equal(t, Wait, askAll(newTestSearch(a, rankedRequest(0), "a"), f, start).Action)
 	}
-	step := askAll(NewCostSearch(rankedRequest(0), "g", "", endpoints("a"), 1, a), f, start)
+	step := askAll(newTestSearch(a, rankedRequest(0), "a"), f, start)
 	require.Equal(t, Refuse, step.Action)
 	require.Positive(t, step.RetryAfter)
 }
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -35,10 +35,12 @@
 	unread int
 	// queued is the number of tokens that the engine had to process when the permit was granted, including
 	// the request's own.
-	queued  int
-	work    Work
-	started bool
-	expires time.Time
+	queued int
+	work   Work
+	// otherWait is the part of the expected time to the first token that is not spent on prompts.
+	otherWait time.Duration
+	started   bool
+	expires   time.Time
 }
 
 // ranks is the number of urgencies that are told apart. Less urgent requests count as the least urgent of them.
@@ -78,6 +80,10 @@
 	First, Own time.Duration
 	// Run is the time from the first token to the end of the response; 0 if it is not known.
 	Run time.Duration
+	// Displaced is the time that the engine needs for the prompts of less urgent requests, which the request delays.
+	Displaced time.Duration
+	// other is the part of First that is not spent on prompts or the first event.
+	other time.Duration
 }
 
 // Load estimates how busy an engine is from the permits granted for it. It is not safe for concurrent use.
@@ -127,11 +133,11 @@
 	return Forecast{First: l.Estimate(w.Unread), Own: l.IdleEstimate(w.Unread)}
 }
 
-// Add records a granted permit.
-func (l *Load) Add(key PermitKey, adapter string, w Work, expires time.Time) {
+// Add records a granted permit. f is the forecast by which it was granted.
+func (l *Load) Add(key PermitKey, adapter string, w Work, f Forecast, expires time.Time) {
 	l.unread += w.Unread
 	l.running++
-	p := &permit{adapter: adapter, unread: w.Unread, queued: l.unread, work: w, expires: expires}
+	p := &permit{adapter: adapter, unread: w.Unread, queued: l.unread, work: w, otherWait: f.other, expires: expires}
 	l.permits[key] = p
 	if l.cost != nil {
 		p.queued = l.cost.add(w)
@@ -148,7 +154,7 @@
 	p.started = true
 	l.unread -= p.unread
 	if l.cost != nil {
-		l.cost.started(p.work, after, p.queued, now)
+		l.cost.started(p, after, now)
 	}
 	if p.queued <= 0 {
 		return
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -99,6 +99,8 @@
 	Queue time.Duration
 	// LoadDelay is the expected wait for the adapter; 0 if the engine holds it.
 	LoadDelay time.Duration
+	// Displaced is the work of less urgent requests that the request would delay.
+	Displaced time.Duration
 }
 
 // wait returns how long the request would have to wait at the home, with a penalty for homes that do not hold
@@ -111,4 +113,14 @@
 }
 
 // Bounds are the longest waits that a request accepts: for the first token, and for the adapter.
-type Bounds struct{ First, Load time.Duration }
+type Bounds struct {
+	First, Load time.Duration
+	// Total, if not 0, bounds the time to the first token together with the work of less urgent requests that the
+	// request would delay.
+	Total time.Duration
+}
+
+// Accept reports whether the bounds allow a request to go to an engine at once.
+func (b Bounds) Accept(f Forecast, loadDelay time.Duration) bool {
+	return f.First <= b.First && loadDelay <= b.Load && (b.Total == 0 || f.First+f.Displaced <= b.Total)
+}
--- a/pkg/placement/search.go
+++ b/pkg/placement/search.go
@@ -48,6 +48,8 @@
 	Next(now time.Time) Step
 	// Offered records that the request would have to wait at an engine. loadDelay is the expected wait for the adapter.
 	Offered(e roster.Endpoint, f Forecast, loadDelay time.Duration)
+	// Named records engines that an owner has named as its least loaded ones.
+	Named(spares []Spare, now time.Time)
 	// End ends the search. granted says that the request goes to an engine.
 	End(granted bool, now time.Time)
 }
@@ -92,16 +94,19 @@
 // Offered implements Plan.
 func (s *Search) Offered(e roster.Endpoint, f Forecast, loadDelay time.Duration) {
 	if !s.sent {
-		s.offers = append(s.offers, Offer{e, f.First, f.First - f.Own, loadDelay})
+		s.offers = append(s.offers, Offer{Endpoint: e, Estimate: f.First, Queue: f.First - f.Own, LoadDelay: loadDelay})
 	}
 }
 
+// Named implements Plan.
+func (s *Search) Named([]Spare, time.Time) {}
+
 // End implements Plan.
 func (s *Search) End(bool, time.Time) {}
 
 // ask returns the step that asks for an immediate permit at a home.
 func (s *Search) ask(e roster.Endpoint) Step {
-	bounds := Bounds{s.req.ObjectiveShare(immediateWaitShare), s.req.ObjectiveShare(immediateLoadShare)}
+	bounds := Bounds{First: s.req.ObjectiveShare(immediateWaitShare), Load: s.req.ObjectiveShare(immediateLoadShare)}
 	return Step{Action: Ask, Endpoint: e, Bounds: bounds, WaitUntil: s.req.WaitDeadline}
 }
 
@@ -127,7 +132,7 @@
 	s.sent = true
 	// The state of the home may have changed a little since the offer.
 	margin := s.req.ObjectiveShare(immediateWaitShare)
-	bounds := Bounds{best.Estimate + margin, best.LoadDelay + margin}
+	bounds := Bounds{First: best.Estimate + margin, Load: best.LoadDelay + margin}
 	return Step{Action: Send, Endpoint: best.Endpoint, Bounds: bounds, WaitUntil: s.req.WaitDeadline, Prefetch: s.prefetch(best)}
 }
 
