placement: forecasts allow for overtaking, and a margin for what is in time

Cause: under overload a tenth of the requests took 100 to 300 ms longer than forecast, since more urgent requests that arrive later overtake, so that requests admitted as in time were late. Change: the forecast grows with the share of the engine's time that more urgent arrivals of the last second take, and a request counts as in time up to 0.8 of its objective (0.75 for less urgent ones, 0.5 over the limit).

--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -472,7 +472,7 @@
 		reply.Version = version
 	}
 	w.load.CachePrompt(args.Adapter, args.Prompt)
-	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, work, f, now.Add(args.Life+permitGrace))
+	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, work, f, now, now.Add(args.Life+permitGrace))
 	return reply, true
 }
 
--- a/pkg/placement/cost_search.go
+++ b/pkg/placement/cost_search.go
@@ -15,10 +15,12 @@
 	// offer.
 	maxSends = 2
 	// inTimeShare is the multiple of the objective by which the first token must be expected for a request to count
-	// as in time; less for less urgent requests, because they are overtaken, and for accounts over their limit.
-	inTimeShare           = 1.0
-	lessUrgentInTimeShare = 0.95
-	overLimitInTimeShare  = 0.6
+	// as in time; less for less urgent requests, because they are overtaken, and for accounts over their limit. In
+	// the queue model a tenth of the requests take 100 to 300 ms longer than forecast under overload: with 0.75
+	// instead of 1.0, the share in time rose from 74 to 78 % (customer A) and from 29 to 37 % (B).
+	inTimeShare           = 0.8
+	lessUrgentInTimeShare = 0.75
+	overLimitInTimeShare  = 0.5
 	// minYieldShare is what remains of these shares when hardly any more urgent request is served at once.
 	minYieldShare = 0.25
 	// A request that will be late goes to an engine whose queue takes at most this share of the objective, which
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -133,14 +133,14 @@
 	return Forecast{First: l.Estimate(w.Unread), Own: l.IdleEstimate(w.Unread)}
 }
 
-// Add records a granted permit. f is the forecast by which it was granted.
-func (l *Load) Add(key PermitKey, adapter string, w Work, f Forecast, expires time.Time) {
+// Add records a permit granted at now. f is the forecast by which it was granted.
+func (l *Load) Add(key PermitKey, adapter string, w Work, f Forecast, now, expires time.Time) {
 	l.unread += w.Unread
 	l.running++
 	p := &permit{adapter: adapter, unread: w.Unread, queued: l.unread, work: w, otherWait: f.other, expires: expires}
 	l.permits[key] = p
 	if l.cost != nil {
-		p.queued = l.cost.add(w)
+		p.queued = l.cost.add(w, now)
 	}
 }
 
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,6 +109,10 @@
 
 func (r modelResult) String() string {
 	text := fmt.Sprintf("value %5.1f %%, by attempt %5.1f %%, busiest engine %.2f", 100*r.value/r.best, 100*r.attemptValue/r.best, r.skew)
+	slices.Sort(r.errors)
+	for _, share := range []int{10, 50, 90} {
+		text += fmt.Sprintf(", forecast error p%d %v", share, r.errors[len(r.errors)*share/100].Round(time.Millisecond))
+	}
 	for _, name := range []string{"quality-note", "route-hint", "round-summary", "thanks-draft", "donor-chat", "campaign-digest"} {
 		if k := r.kinds[name]; k != nil {
 			n := float64(k.requests) / 100
