placement: refused callers return at the rate at which requests are granted

Change: with cost, callers that are refused come back one after the other, not before capacity is expected, for each group and rank at the rate of granted requests of the last seconds, within 3 s. A caller that comes back when asked to is in time up to 0.9 instead of 0.8 of its objective.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -71,11 +71,9 @@
 		health:    newHealthTracker(cfg.Metrics, cfg.Log),
 		locations: newAdapterLocations(),
 		hotKeys:   placement.NewHotKeys(),
-		costs: placement.CostContext{
-			FailureDomain: cfg.FailureDomain, Admission: placement.NewAdmission(), Known: placement.NewKnownEngines(),
-		},
-		reports: newReportCache(cfg.Engines, cfg.Log),
-		owners:  newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
+		costs:     placement.NewCostContext(cfg.FailureDomain),
+		reports:   newReportCache(cfg.Engines, cfg.Log),
+		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
 	metrics.NewRegisteredFunctionalGauge(metricHeld, cfg.Metrics, d.costs.Admission.Held)
 	return d
@@ -93,7 +91,7 @@
 		d.health.sweep(now)
 		d.locations.sweep(now)
 		d.hotKeys.Sweep(now)
-		d.costs.Known.Sweep(now)
+		d.costs.Sweep(now)
 		d.reports.sweep(now)
 	})
 	d.owners.run(ctx)
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/clock"
@@ -48,6 +49,10 @@
 // once, the request goes to the home with the shortest wait.
 func (d *Dispatcher) placeOnEngine(ctx context.Context, req gateway.Request, candidates []roster.Endpoint) (gateway.Placement, error) {
 	s := &search{d: d, req: req, plan: placement.NewRequest(req.Route.Objective, req.Arrived, req.Deadline, req.Urgency, req.OverLimit)}
+	if d.cfg.Placement == placement.Cost {
+		s.plan.Caller = callerOf(req)
+		s.plan.Returned = d.costs.Returns.Returned(s.plan.Caller, time.Now())
+	}
 	key := placement.HomeKey(req.Terms)
 	ranked := placement.RankHomes(key, candidates)
 	homeCount := d.hotKeys.HomeCount(key, time.Now())
@@ -75,6 +80,12 @@
 	}
 }
 
+// callerOf identifies a request over its attempts, which have different IDs: the account, the route and the part of the
+// prompt that belongs to the request or its session alone.
+func callerOf(req gateway.Request) uint64 {
+	return xxhash.Sum64String(req.Account + "/" + req.Route.Name + "/" + placement.SessionKey(req.ID, req.Terms))
+}
+
 // askOwners follows the steps of a search until an owner grants a permit, or the search ends without one. It returns
 // the last step.
 func (s *search) askOwners(ctx context.Context, key string, ranked []roster.Endpoint, homeCount int) (gateway.Placement, placement.Step, bool) {
--- a/pkg/placement/cost_search.go
+++ b/pkg/placement/cost_search.go
@@ -21,6 +21,8 @@
 	inTimeShare           = 0.8
 	lessUrgentInTimeShare = 0.75
 	overLimitInTimeShare  = 0.5
+	// returnedShare is added for a caller that returns at the time that it was given, which ranks it before new ones.
+	returnedShare = 0.1
 	// minYieldShare is what remains of these shares when hardly any more urgent request is served at once.
 	minYieldShare = 0.25
 	// A request that will be late goes to an engine whose queue takes at most this share of the objective, which
@@ -50,6 +52,18 @@
 	FailureDomain string
 	Admission     *Admission
 	Known         *KnownEngines
+	Returns       *Returns
+}
+
+// NewCostContext returns the context of a VM in the failure domain.
+func NewCostContext(domain string) CostContext {
+	return CostContext{FailureDomain: domain, Admission: NewAdmission(), Known: NewKnownEngines(), Returns: NewReturns()}
+}
+
+// Sweep discards what is out of date.
+func (c CostContext) Sweep(now time.Time) {
+	c.Known.Sweep(now)
+	c.Returns.Sweep(now)
 }
 
 // CostSearch is the search of one request by expected cost. It is not safe for concurrent use.
@@ -91,6 +105,9 @@
 	if !s.req.OverLimit {
 		s.Admission.record(s.group, s.req.Urgency, granted && !s.held, now)
 	}
+	if granted {
+		s.Returns.granted(s.req.returnKey(s.group), now)
+	}
 	if s.held {
 		s.Admission.release()
 	}
@@ -180,7 +197,7 @@
 	if s.mayHold(best, now) {
 		return s.hold(best, now)
 	}
-	return Step{Action: Refuse, RetryAfter: s.retryAfter(best)}
+	return Step{Action: Refuse, RetryAfter: s.retryAfter(best, now)}
 }
 
 // sendBounds returns the bounds with which a request goes to the engine. The engine may have become busier since the
@@ -268,6 +285,9 @@
 	case s.req.Urgency > 0:
 		share = lessUrgentInTimeShare
 	}
+	if s.req.Returned && !s.req.OverLimit {
+		share += returnedShare
+	}
 	return share * s.yieldShare(now)
 }
 
@@ -313,8 +333,9 @@
 	return Step{Action: Wait, For: min(max(best.Queue-s.lateQueue(now), minHold), maxHold)}
 }
 
-// retryAfter returns the time after which a refused caller should come back: when the queue of the engine is expected
-// to be short enough.
-func (s *CostSearch) retryAfter(best Offer) time.Duration {
-	return max(best.wait()-s.req.ObjectiveShare(inTimeShare/2), MinRetryAfter)
+// retryAfter returns the time after which a refused caller should come back: when the engine is expected to take the
+// request in time, and after callers of the same rank that were refused before.
+func (s *CostSearch) retryAfter(best Offer, now time.Time) time.Duration {
+	wait := max(best.wait()-s.req.ObjectiveShare(s.inTimeShare(now)/2), MinRetryAfter)
+	return s.Returns.schedule(s.req.returnKey(s.group), s.req.Caller, now.Add(wait), now).Sub(now)
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -50,6 +50,10 @@
 	Urgency int
 	// OverLimit says that the request's account is over its limit.
 	OverLimit bool
+	// Caller identifies the caller's request over its attempts. Returned says that it was refused before and comes back
+	// at the time that it was given.
+	Caller   uint64
+	Returned bool
 }
 
 // NewRequest returns a request whose WaitDeadline follows from its objective and its deadline. An objective of 0
