placement: plain services by expected finish with observed speed

Cause: the time to the first part of a response included the wait before sending, a longer time replaced the average at once and stayed until the service was used again, and services of other failure domains cost a quarter more of a few milliseconds. Change: with cost, a service is chosen by its observed time since sending (half-life 3 s, shrunk to the group's mean), its slots and this VM's requests there; one that has refused or failed a request counts as having a queue for about a second. Another failure domain must be sooner by a quarter of the objective. Times within 10 % count as equal. Result: go test -race of pkg/dispatch passes, tests of pkg/placement cover slow, full and far services. Not measured under load.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -62,6 +61,7 @@
 	reports   *reportCache
 	returns   placement.ReturnSchedule
 	costs     placement.CostContext
+	services  *placement.Services
 }
 
 // New returns a Dispatcher.
@@ -72,6 +72,7 @@
 		locations: newAdapterLocations(),
 		hotKeys:   placement.NewHotKeys(),
 		costs:     placement.NewCostContext(cfg.FailureDomain),
+		services:  placement.NewServices(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
@@ -92,6 +93,7 @@
 		d.locations.sweep(now)
 		d.hotKeys.Sweep(now)
 		d.costs.Sweep(now)
+		d.services.Sweep(now)
 		d.reports.sweep(now)
 	})
 	d.owners.run(ctx)
@@ -134,13 +136,7 @@
 	if req.Group.Engine != nil {
 		return d.placeOnEngine(ctx, req, candidates)
 	}
-	e, cost := d.health.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
-	limit := d.takeLimit(req, e)
-	if !limit.Granted {
-		return gateway.Placement{}, errOverLimit
-	}
-	d.logPlaced(req, e, limit, logrus.Fields{"by": "least_cost", "cost": cost.Round(time.Microsecond), "candidates": len(candidates)})
-	return d.newPlacement(e, 0, 0, func(orders.PermitUpdate) {}), nil
+	return d.placeOnService(req, candidates, now)
 }
 
 // group returns the endpoints that may serve the request.
