placement: output length learned by route and adapter

Cause: the memory and the duration of a run were taken from the stated limit on its length, which is several times too long, and callers' hints were not read. Change: X-Length-Hint is decoded into dialect.RequestInfo. With cost, a VM learns the number of events of responses by route and adapter, and the tokens of an event from responses that reach their limit. A hint moves the expectation by a factor of two at most, relative to the usual hint and as far as the hints of its account have been right. Permits carry the result to the owner. Not measured under load.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -22,6 +22,9 @@
 	Adapter string
 	// PromptTokens is the length of the prompt; OutputTokens is the upper bound of the response's length.
 	PromptTokens, OutputTokens int
+	// LengthHint is the caller's estimate of the response's length in tokens; 0 if the header states none. It is right
+	// at the median, and often far off.
+	LengthHint int
 	// HasTokens reports whether the caller stated token counts.
 	HasTokens bool
 	// Prompt lists the parts of the prompt in order. Requests may share parts; the last part belongs
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 	returns   placement.ReturnSchedule
 	costs     placement.CostContext
 	services  *placement.Services
+	lengths   *placement.Lengths
 }
 
 // New returns a Dispatcher.
@@ -73,6 +74,7 @@
 		hotKeys:   placement.NewHotKeys(),
 		costs:     placement.NewCostContext(cfg.FailureDomain),
 		services:  placement.NewServices(),
+		lengths:   placement.NewLengths(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
@@ -94,6 +96,7 @@
 		d.hotKeys.Sweep(now)
 		d.costs.Sweep(now)
 		d.services.Sweep(now)
+		d.lengths.Sweep(now)
 		d.reports.sweep(now)
 	})
 	d.owners.run(ctx)
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -212,6 +212,7 @@
 		case orders.Granted:
 			return s.granted(e, reply, func(n orders.PermitUpdate) {
 				n.Permit = permit
+				d.recordLength(s.req, n.Events)
 				d.owners.queueUpdate(address, n)
 			})
 		case orders.Waiting:
@@ -228,10 +229,27 @@
 
 // acquireArgs returns the description of a request for an engine's owner.
 func (d *Dispatcher) acquireArgs(req gateway.Request, e roster.Endpoint) *orders.AcquireArgs {
-	return &orders.AcquireArgs{
+	args := &orders.AcquireArgs{
 		Endpoint: e.ID, Started: e.Started, Model: req.Terms.Model, Adapter: req.Terms.Adapter, Urgency: req.Urgency,
 		Tokens: req.Terms.PromptTokens, Output: req.Terms.OutputTokens, Prompt: req.Terms.Prompt,
 	}
+	if d.cfg.Placement == placement.Cost {
+		expected := d.lengths.Expect(lengthKey(req), req.Account, req.Terms.LengthHint, req.Terms.OutputTokens)
+		args.Expected, args.Events = expected.Tokens, expected.Events
+	}
+	return args
+}
+
+// lengthKey returns the key by which the lengths of responses are learned.
+func lengthKey(req gateway.Request) placement.LengthKey {
+	return placement.LengthKey{Route: req.Route.Name, Model: req.Terms.Model, Adapter: req.Terms.Adapter}
+}
+
+// recordLength learns the length of a response.
+func (d *Dispatcher) recordLength(req gateway.Request, events int) {
+	if d.cfg.Placement == placement.Cost {
+		d.lengths.Record(lengthKey(req), req.Account, req.Terms.LengthHint, req.Terms.OutputTokens, events, time.Now())
+	}
 }
 
 // granted returns the placement for a permit that an owner has granted, unless the endpoint has started to drain or
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -65,7 +65,9 @@
 	Urgency int
 	// Tokens is the length of the prompt, and Output the limit on the response's length, both in tokens.
 	Tokens, Output int
-	Prompt         []dialect.PromptPart
+	// Expected is the expected length of the response in tokens, and Events that in events; 0 if they are not known.
+	Expected, Events int
+	Prompt           []dialect.PromptPart
 	// Left is the longest time to wait for the adapter, and Life the longest time that the request can last.
 	Left, Life time.Duration
 	// Bound is the longest expected time to the first token that the caller accepts, and LoadBound the
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -453,7 +453,11 @@
 // work returns what the engine has to do for a request. w.mu must be held.
 func (w *worker) work(args *AcquireArgs) placement.Work {
 	unread := w.load.Unread(args.Adapter, args.Prompt, args.Tokens)
-	return placement.Work{Unread: unread, Memory: unread + args.Output, Urgency: args.Urgency}
+	output := args.Output
+	if args.Expected > 0 {
+		output = args.Expected
+	}
+	return placement.Work{Unread: unread, Memory: unread + output, Events: args.Events, Urgency: args.Urgency}
 }
 
 // grant grants a permit if the adapter is usable now. w.mu must be held.
--- a/pkg/placement/cost_load.go
+++ b/pkg/placement/cost_load.go
@@ -37,7 +37,11 @@
 	other += time.Duration(float64(time.Duration(ahead+w.Unread)*s.Token) * c.overtaking(w, s, now))
 	first := own + time.Duration(ahead)*s.Token + other
 	all, _ := c.unread.upTo(Work{Urgency: ranks - 1})
-	return Forecast{First: first, Own: own, Run: s.Run, Displaced: time.Duration(all-ahead) * s.Token, other: other}
+	run := s.Run
+	if w.Events > 0 {
+		run = time.Duration(w.Events) * s.Event
+	}
+	return Forecast{First: first, Own: own, Run: run, Displaced: time.Duration(all-ahead) * s.Token, other: other}
 }
 
 // overtaking returns by what share more urgent requests that arrive later prolong the reading of a prompt.
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -51,6 +51,8 @@
 	// Unread is the number of prompt tokens that the engine has to process, and Memory the number of tokens of its
 	// cache that the request takes up besides the parts that are cached already.
 	Unread, Memory int
+	// Events is the expected number of events of the response; 0 if it is not known.
+	Events int
 	// Urgency ranks the request; 0 is the most urgent.
 	Urgency int
 }
