placement: load patterns as tests, forecasts of slot waits by rank

The wait for a slot counts the requests of the same or higher urgency that wait, and those expected to overtake.

--- a/pkg/placement/cost_load.go
+++ b/pkg/placement/cost_load.go
@@ -15,11 +15,15 @@
 	capacity int
 	// unread is the work of permits without a first token, memory that of all permits.
 	unread, memory byRank
-	// arrivals are the prompt tokens of each rank that have arrived, at engineHalfLife.
-	arrivals [ranks]float64
+	// waiting is the number of permits without a first token.
+	waiting [ranks]int
+	// arrivals are the requests of each rank and their prompt tokens that have arrived, decayed with engineHalfLife.
+	arrivals [ranks]arrivals
 	at       time.Time
 }
 
+type arrivals struct{ requests, tokens float64 }
+
 // NewCostLoad returns the load of an engine without permits that makes forecasts by cost. The engine runs that many
 // requests at once, and its cache holds capacity tokens. group is the speed of the engine's group.
 func NewCostLoad(slots, capacity int, group *GroupSpeed) Load {
@@ -33,8 +37,9 @@
 	s := c.speed.at(now)
 	ahead, _ := c.unread.upTo(w)
 	own := s.Event + time.Duration(w.Unread)*s.Token
-	other := c.slotWait(running, slots, s) + c.memoryWait(w, s)
-	other += time.Duration(float64(time.Duration(ahead+w.Unread)*s.Token) * c.overtaking(w, s, now))
+	later := c.laterArrivals(w, now)
+	other := c.slotWait(w, running, slots, s, later) + c.memoryWait(w, s)
+	other += prolonged(time.Duration(ahead+w.Unread)*s.Token, later.tokens*s.Token.Seconds())
 	first := own + time.Duration(ahead)*s.Token + other
 	all, _ := c.unread.upTo(Work{Urgency: ranks - 1})
 	run := s.Run
@@ -44,16 +49,22 @@
 	return Forecast{First: first, Own: own, Run: run, Displaced: time.Duration(all-ahead) * s.Token, other: other}
 }
 
-// overtaking returns by what share more urgent requests that arrive later prolong the reading of a prompt.
-func (c *costLoad) overtaking(w Work, s Speed, now time.Time) float64 {
-	tokens := 0.0
-	for _, arrived := range c.arrivals[:w.rank()] {
-		tokens += arrived
+// laterArrivals returns what more urgent requests are expected to arrive a second and overtake the request.
+func (c *costLoad) laterArrivals(w Work, now time.Time) arrivals {
+	var sum arrivals
+	for _, a := range c.arrivals[:w.rank()] {
+		sum.requests += a.requests
+		sum.tokens += a.tokens
 	}
-	// A constant rate of r tokens a second adds up to r * halfLife / ln 2.
-	perSecond := tokens * c.decay(now) * math.Ln2 / engineHalfLife.Seconds()
-	busy := min(perSecond*s.Token.Seconds(), maxOvertaking)
-	return busy / (1 - busy)
+	// A constant rate of r a second adds up to r * halfLife / ln 2.
+	perSecond := c.decay(now) * math.Ln2 / engineHalfLife.Seconds()
+	return arrivals{sum.requests * perSecond, sum.tokens * perSecond}
+}
+
+// prolonged returns by how much a wait grows if a share of the engine's time goes to requests that arrive later.
+func prolonged(wait time.Duration, share float64) time.Duration {
+	share = min(share, maxOvertaking)
+	return time.Duration(float64(wait) * share / (1 - share))
 }
 
 // decay returns the share that is left of the arrivals.
@@ -65,19 +76,27 @@
 func (c *costLoad) arrived(w Work, now time.Time) {
 	left := c.decay(now)
 	for i := range c.arrivals {
-		c.arrivals[i] *= left
+		c.arrivals[i].requests *= left
+		c.arrivals[i].tokens *= left
 	}
-	c.arrivals[w.rank()] += float64(w.Unread)
+	c.arrivals[w.rank()].requests++
+	c.arrivals[w.rank()].tokens += float64(w.Unread)
 	c.at = now
 }
 
-// slotWait returns the time until a request slot is free. An engine gives a free slot to the most urgent request, so
-// that one waits for the next slot only.
-func (c *costLoad) slotWait(running, slots int, s Speed) time.Duration {
+// slotWait returns the time until the request gets a slot. An engine gives a free slot to the most urgent request that
+// waits for one.
+func (c *costLoad) slotWait(w Work, running, slots int, s Speed, later arrivals) time.Duration {
 	if slots == 0 || running < slots {
 		return 0
 	}
-	return s.Run * time.Duration(running-slots+1) / time.Duration(slots)
+	ahead := 0
+	for _, n := range c.waiting[:w.rank()+1] {
+		ahead += n
+	}
+	perSlot := s.Run / time.Duration(slots)
+	wait := perSlot * time.Duration(min(running-slots, ahead)+1)
+	return wait + prolonged(wait, later.requests*perSlot.Seconds())
 }
 
 // memoryWait returns the time until the request fits into the cache beside the requests that are at least as urgent.
@@ -94,6 +113,7 @@
 // add adds the work of a permit, and returns the number of prompt tokens up to its end.
 func (c *costLoad) add(w Work, now time.Time) (queued int) {
 	c.arrived(w, now)
+	c.waiting[w.rank()]++
 	c.unread.add(w)
 	c.memory.add(w)
 	queued, _ = c.unread.upTo(w)
@@ -103,6 +123,7 @@
 // started records the first token of a request.
 func (c *costLoad) started(p *permit, after time.Duration, now time.Time) {
 	c.unread.remove(p.work)
+	c.waiting[p.work.rank()]--
 	c.speed.firstEvent(after-p.otherWait, p.queued, now)
 }
 
@@ -111,5 +132,6 @@
 	c.memory.remove(w)
 	if !started {
 		c.unread.remove(w)
+		c.waiting[w.rank()]--
 	}
 }
--- a/pkg/placement/model_test.go
+++ b/pkg/placement/model_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,8 @@
 	value, lateValue    float64
 	accounts            int
 	overLimit           func(account int) bool
+	// falseHints says which accounts state hints that are far too small.
+	falseHints func(account int) bool
 }
 
 // modelLoad is a load pattern. Functions that are nil have no effect.
@@ -70,7 +73,9 @@
 	vm                  int
 	permit              PermitKey
 	work                Work
+	memory              int
 	unread, left, tries int
+	output, hint        int
 	sent, first         time.Time
 	forecast            time.Duration
 	done                bool
@@ -147,6 +152,7 @@
 	result   modelResult
 	callers  *rand.Rand
 	failures []map[int]time.Time
+	lengths  []*Lengths
 }
 
 // Ways to place requests that the model compares.
@@ -164,7 +170,7 @@
 	group := NewGroupSpeed()
 	for i := range load.engines {
 		e := &modelEngine{index: i, adapters: map[string]*modelAdapter{}}
-		e.endpoint = roster.Endpoint{Incarnation: roster.Incarnation{ID: fmt.Sprintf("e%02d", i)}, FailureDomain: fmt.Sprint(i % max(load.domains, 1))}
+		e.endpoint = roster.Endpoint{Incarnation: roster.Incarnation{ID: fmt.Sprintf("e%02d", i), Started: int64(i)}, FailureDomain: fmt.Sprint(i % max(load.domains, 1))}
 		if policy == costPolicy {
 			e.load = NewCostLoad(load.slots, load.memory, group)
 		} else {
@@ -176,6 +182,7 @@
 		m.hotKeys = append(m.hotKeys, NewHotKeys())
 		m.contexts = append(m.contexts, NewCostContext(fmt.Sprint(i%max(load.domains, 1))))
 		m.failures = append(m.failures, map[int]time.Time{})
+		m.lengths = append(m.lengths, NewLengths())
 	}
 	if !load.cold {
 		m.warm()
@@ -223,11 +230,22 @@
 			at += time.Duration(m.callers.ExpFloat64() / rate * float64(time.Second))
 			job := &modelJob{kind: kind, adapter: m.drawAdapter(), session: fmt.Sprint(m.callers.IntN(1 << 20)), arrived: start.Add(at)}
 			job.account, job.vm = m.callers.IntN(max(kind.accounts, 1)), m.callers.IntN(m.load.vms)
+			m.drawLength(job)
 			m.at(job.arrived, func() { m.attempt(job) })
 		}
 	}
 }
 
+// drawLength draws the length of a response, and the hint of its caller.
+func (m *model) drawLength(j *modelJob) {
+	length := float64(j.kind.output) * math.Exp(0.4*m.callers.NormFloat64())
+	hint := length * math.Exp(0.6*m.callers.NormFloat64())
+	if j.kind.falseHints != nil && j.kind.falseHints(j.account) {
+		hint = 1
+	}
+	j.output, j.hint = int(math.Ceil(length)), int(math.Ceil(hint))
+}
+
 // drawAdapter draws an adapter: the hot one, or one of the others with a few in frequent use.
 func (m *model) drawAdapter() string {
 	if m.callers.Float64() < m.load.hot {
@@ -256,9 +274,7 @@
 }
 
 func (m *model) engine(e roster.Endpoint) *modelEngine {
-	var i int
-	_, _ = fmt.Sscanf(e.ID, "e%d", &i)
-	return m.engines[i]
+	return m.engines[e.Started]
 }
 
 func (m *model) kindResult(j *modelJob) *kindResult {
@@ -332,9 +348,19 @@
 func (m *model) work(j *modelJob, e *modelEngine) Work {
 	prompt := []dialect.PromptPart{{ID: j.kind.name, Tokens: j.kind.shared}}
 	unread := e.load.Unread(j.adapter, prompt, j.kind.shared+j.kind.own)
-	return Work{Unread: unread, Memory: unread + j.kind.output, Urgency: j.kind.rank}
+	w := Work{Unread: unread, Memory: unread + maxOutput, Urgency: j.kind.rank}
+	if m.policy == costPolicy {
+		expected := m.lengths[j.vm].Expect(lengthKeyOf(j), fmt.Sprint(j.account), j.hint, maxOutput)
+		w.Memory, w.Events = unread+expected.Tokens, expected.Events
+	}
+	return w
 }
 
+// maxOutput is the limit on the length of a response that callers state, in tokens.
+const maxOutput = 512
+
+func lengthKeyOf(j *modelJob) LengthKey { return LengthKey{Route: j.kind.name, Adapter: j.adapter} }
+
 // ask is the owner's reply to a call.
 func (m *model) ask(j *modelJob, p Plan, step Step) {
 	e := m.engine(step.Endpoint)
@@ -398,7 +424,7 @@
 		if len(e.adapters) >= m.load.adapterSlots {
 			victim := m.evictable(e)
 			if victim == "" {
-				m.after(20*time.Millisecond, func() { m.grant(j, e, delay) })
+				m.after(50*time.Millisecond, func() { m.grant(j, e, delay) })
 				return
 			}
 			delete(e.adapters, victim)
@@ -424,7 +450,8 @@
 	f := e.load.Forecast(j.work, m.now)
 	j.forecast = f.First
 	e.load.Add(j.permit, j.adapter, j.work, f, m.now, m.now.Add(time.Hour))
-	j.unread, j.left, j.sent, j.first = j.work.Unread, j.kind.output, m.now, time.Time{}
+	j.unread, j.left, j.sent, j.first = j.work.Unread, j.output, m.now, time.Time{}
+	j.memory = j.work.Unread + j.output
 	if m.lost(e) || m.load.failing != nil && m.load.failing(e.index) {
 		m.after(5*time.Millisecond, func() { m.fail(j) })
 		return
@@ -489,7 +516,7 @@
 // admit moves waiting requests into free slots, the most urgent first.
 func (m *model) admit(e *modelEngine) {
 	slices.SortStableFunc(e.queue, func(a, b *modelJob) int { return cmp.Compare(a.kind.rank, b.kind.rank) })
-	for len(e.queue) > 0 && len(e.running) < m.load.slots && e.memory+e.queue[0].work.Memory <= m.load.memory {
+	for len(e.queue) > 0 && len(e.running) < m.load.slots && e.memory+e.queue[0].memory <= m.load.memory {
 		j := e.queue[0]
 		e.queue = e.queue[1:]
 		if m.now.After(j.attempt.Add(j.kind.limit)) {
@@ -497,7 +524,7 @@
 			m.count(j, 0)
 			continue
 		}
-		e.memory += j.work.Memory
+		e.memory += j.memory
 		e.running = append(e.running, j)
 	}
 	slices.SortStableFunc(e.running, func(a, b *modelJob) int { return cmp.Compare(a.kind.rank, b.kind.rank) })
@@ -516,7 +543,7 @@
 			running = append(running, j)
 			continue
 		}
-		e.memory -= j.work.Memory
+		e.memory -= j.memory
 		m.leave(j, m.now.Sub(j.first))
 		m.count(j, j.first.Sub(j.arrived))
 	}
@@ -549,8 +576,11 @@
 	e, permit := j.engine, j.permit
 	e.adapters[j.adapter].users--
 	e.adapters[j.adapter].lastUse = m.now
+	if ran > 0 {
+		m.lengths[j.vm].Record(lengthKeyOf(j), fmt.Sprint(j.account), j.hint, maxOutput, j.output, m.now)
+	}
 	m.after(25*time.Millisecond, func() {
-		e.load.RecordRun(permit, ran, j.kind.output, m.now)
+		e.load.RecordRun(permit, ran, j.output, m.now)
 		e.load.Remove(permit)
 	})
 }
