--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,12 +20,13 @@
 )
 
 var (
-	seedFlag  = flag.Uint64("soak-seed", 0, "seed to play, 0 for the list of the tests")
-	seedsFlag = flag.Int("soak-seeds", 0, "number of seeds to play from soak-seed on")
-	vmsFlag   = flag.Int("soak-vms", 4, "number of VMs")
-	forFlag   = flag.Duration("soak-for", 12*time.Second, "how long faults strike")
-	knownRed  = flag.Bool("known-red", false, "fail also for what KNOWN-RED.txt lists")
-	otherFlag = flag.String("soak-other-daemon", "", "mallowlinkd of another build for TestVMsOfTwoBuilds; empty for this one")
+	seedFlag      = flag.Uint64("soak-seed", 0, "seed to play, 0 for the list of the tests")
+	seedsFlag     = flag.Int("soak-seeds", 0, "number of seeds to play from soak-seed on")
+	vmsFlag       = flag.Int("soak-vms", 4, "number of VMs")
+	forFlag       = flag.Duration("soak-for", 12*time.Second, "how long faults strike")
+	knownRed      = flag.Bool("known-red", false, "fail also for what KNOWN-RED.txt lists")
+	placementFlag = flag.String("placement", "", "how the VMs place requests; empty for their default")
+	otherFlag     = flag.String("soak-other-daemon", "", "mallowlinkd of another build for TestVMsOfTwoBuilds; empty for this one")
 )
 
 var binary string
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -381,7 +381,11 @@
 
 // start starts the VM's process.
 func (w *world) start(v *vm) {
-	cmd := exec.Command(v.binary, "gateway", "--peer-address", v.peer.address())
+	args := []string{"gateway", "--peer-address", v.peer.address()}
+	if *placementFlag != "" {
+		args = append(args, "--placement", *placementFlag)
+	}
+	cmd := exec.Command(v.binary, args...)
 	cmd.Env = append(os.Environ(), "MALLOWLINK_NODE_FILE="+v.settings, "GOMAXPROCS=2")
 	cmd.Stdout, cmd.Stderr = v.log, v.log
 	if err := cmd.Start(); err != nil {
