--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -63,6 +64,10 @@
 	costs     placement.CostContext
 	services  *placement.Services
 	lengths   *placement.Lengths
+	// refused counts, by urgency, the requests that no engine could take in time, beyondHomes those sent to other
+	// engines than their homes.
+	refused     [refusedRanks]metrics.Counter
+	beyondHomes metrics.Counter
 }
 
 // New returns a Dispatcher.
@@ -79,11 +84,23 @@
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
 	metrics.NewRegisteredFunctionalGauge(metricHeld, cfg.Metrics, d.costs.Admission.Held)
+	d.beyondHomes = metrics.GetOrRegisterCounter(metricBeyondHomes, cfg.Metrics)
+	for rank := range d.refused {
+		d.refused[rank] = metrics.GetOrRegisterCounter(metricRefused+strconv.Itoa(rank), cfg.Metrics)
+	}
 	return d
 }
 
-// metricHeld is the name of the gauge of requests that wait for an engine to become less busy.
-const metricHeld = "dispatch.held"
+const (
+	// metricHeld is the name of the gauge of requests that wait for an engine to become less busy.
+	metricHeld = "dispatch.held"
+	// metricRefused is the beginning of the names of the counters of requests that no engine could take in time. The
+	// urgency follows; the last one stands for all that are less urgent.
+	metricRefused = "dispatch.refused.rank_"
+	refusedRanks  = 4
+	// metricBeyondHomes counts the requests sent to engines that are none of their homes.
+	metricBeyondHomes = "dispatch.beyond_homes"
+)
 
 // sweepInterval is the time between two passes that discard outdated entries of the dispatcher's tables.
 const sweepInterval = 10 * time.Second
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -39,6 +39,8 @@
 	d    *Dispatcher
 	req  gateway.Request
 	plan placement.Request
+	// homes are the homes of the request's key.
+	homes []roster.Endpoint
 	// replies describe the replies of the owners, for the log and the error of a refused request.
 	replies []string
 	// overLimit says that an engine that the request was to go to has no room within its stated limit.
@@ -56,6 +58,7 @@
 	key := placement.HomeKey(req.Terms)
 	ranked := placement.RankHomes(key, candidates)
 	homeCount := d.hotKeys.HomeCount(key, time.Now())
+	s.homes = ranked[:min(homeCount, len(ranked))]
 	for {
 		chosen, last, ok := s.askOwners(ctx, key, ranked, homeCount)
 		switch {
@@ -64,6 +67,7 @@
 		case s.overLimit:
 			return gateway.Placement{}, errOverLimit
 		case last.Action == placement.Refuse, last.Action == placement.Wait:
+			d.countRefused(req)
 			return gateway.Placement{}, s.queueFullError(last)
 		}
 		// No owner can be reached.
@@ -80,6 +84,11 @@
 	}
 }
 
+// countRefused counts a request that is refused because no engine can take it in time.
+func (d *Dispatcher) countRefused(req gateway.Request) {
+	d.refused[min(max(req.Urgency, 0), len(d.refused)-1)].Inc(1)
+}
+
 // callerOf identifies a request over its attempts, which have different IDs: the account, the route and the part of the
 // prompt that belongs to the request or its session alone.
 func callerOf(req gateway.Request) uint64 {
@@ -266,9 +275,17 @@
 	}
 	s.d.locations.record(s.key(), e.Incarnation, reply.Version, time.Now())
 	s.logGranted(e, reply, limit)
+	if s.beyondHomes(e) {
+		s.d.beyondHomes.Inc(1)
+	}
 	return s.d.newPlacement(e, reply.Version, reply.Estimate, notify), reply, true
 }
 
+// beyondHomes reports whether an engine is none of the request's homes.
+func (s *search) beyondHomes(e roster.Endpoint) bool {
+	return !slices.ContainsFunc(s.homes, func(home roster.Endpoint) bool { return home.Incarnation == e.Incarnation })
+}
+
 // takeLimit asks whether the request may go to an engine within the limit that the engine states. It sets s.overLimit
 // if it may not.
 func (s *search) takeLimit(e roster.Endpoint) (ratelimit.Decision, bool) {
--- a/pkg/placement/cost_search.go
+++ b/pkg/placement/cost_search.go
@@ -94,6 +94,8 @@
 	own, run time.Duration
 	sends    int
 	held     bool
+	// refused says that no engine can take the request in time.
+	refused bool
 }
 
 // NewCostSearch returns the search of a request of a group among the engines ranked for its key, of which the first
@@ -107,7 +109,8 @@
 
 // End ends the search. granted says that the request goes to an engine.
 func (s *CostSearch) End(granted bool, now time.Time) {
-	if !s.req.OverLimit {
+	// A search that ends because no owner replies says nothing about the load.
+	if !s.req.OverLimit && (granted || s.held || s.refused) {
 		s.Admission.record(s.group, s.req.Urgency, granted && !s.held, now)
 	}
 	if granted {
@@ -204,6 +207,7 @@
 	if s.mayHold(best, now) {
 		return s.hold(best, now)
 	}
+	s.refused = true
 	return Step{Action: Refuse, RetryAfter: s.retryAfter(best, now)}
 }
 
