--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -82,7 +82,9 @@
 	outcomes  []Outcome
 	// progress counts the calls of Placement.Progress.
 	progress int
-	refuse   *result.Error
+	// started are the endpoints whose first parts were reported by Placement.Started.
+	started []string
+	refuse  *result.Error
 }
 
 func (p *scriptedDispatcher) Place(_ context.Context, req Request) (Placement, error) {
@@ -102,7 +104,12 @@
 				defer p.mu.Unlock()
 				p.progress++
 			}
-			return Placement{Endpoint: e, Progress: progress, Done: func(o Outcome) {
+			started := func(time.Duration) {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.started = append(p.started, e.ID)
+			}
+			return Placement{Endpoint: e, Started: started, Progress: progress, Done: func(o Outcome) {
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				p.outcomes = append(p.outcomes, o)
--- a/pkg/placement/cost_search.go
+++ b/pkg/placement/cost_search.go
@@ -36,10 +36,12 @@
 	lateQueueShare    = 0.25
 	maxLateQueueShare = 0.5
 	// minHold and maxHold bound the time until a waiting request asks again.
-	minHold = 100 * time.Millisecond
+	minHold = 200 * time.Millisecond
 	maxHold = time.Second
-	// askAgain is the number of engines that a waiting request asks each time.
-	askAgain = 2
+	// askAgain is the number of engines that a waiting request asks each time, and one more if owners have named a better
+	// one. With two of each and a minHold of 100 ms, the queue model made 9.6 calls a request under 2.7 times the usual
+	// load, against 6.2 with homes.
+	askAgain = 1
 	// maxOthers is the number of engines beyond its homes that a request asks.
 	maxOthers = 2
 	// otherDomainShare is the part of the objective by which an engine in another failure domain must be sooner:
@@ -193,7 +195,7 @@
 		return Step{Action: Unreachable}
 	}
 	best, inTime := s.best(now)
-	if s.others < maxOthers && s.sends == 0 {
+	if s.others < s.maxOthers() && s.sends == 0 {
 		if e, ok := s.other(best, inTime, now); ok {
 			s.others++
 			s.Known.lengthen(s.group, e.Incarnation, s.own)
@@ -235,6 +237,14 @@
 	return b
 }
 
+// maxOthers returns the number of engines beyond its homes that the request asks.
+func (s *CostSearch) maxOthers() int {
+	if s.held {
+		return askAgain
+	}
+	return maxOthers
+}
+
 // other returns the best engine that has not been asked, if the request should be sooner there than at the best one
 // that has. A request that is in time goes elsewhere only if that is much sooner: loads of adapters are limited.
 func (s *CostSearch) other(best Offer, inTime bool, now time.Time) (roster.Endpoint, bool) {
@@ -263,7 +273,7 @@
 			found, least, ok = e, price, true
 		}
 	}
-	if !ok && !inTime && len(s.loads) == 0 {
+	if !ok && !inTime && !s.held && len(s.loads) == 0 {
 		return s.anyOther()
 	}
 	return found, ok
--- a/pkg/placement/model_test.go
+++ b/pkg/placement/model_test.go
@@ -130,7 +130,9 @@
 	// attemptValue is the value if the time to the first token counts from the attempt that was served.
 	attemptValue float64
 	// skew is the requests of the busiest engine as a multiple of the mean.
-	skew     float64
+	skew float64
+	// calls counts the calls to owners.
+	calls    int
 	accounts map[int]*kindResult
 	// errors are the times to the first token beyond the forecasts, of the requests that were served.
 	errors []time.Duration
@@ -363,6 +365,7 @@
 
 // ask is the owner's reply to a call.
 func (m *model) ask(j *modelJob, p Plan, step Step) {
+	m.result.calls++
 	e := m.engine(step.Endpoint)
 	f, delay := e.load.Forecast(m.work(j, e), m.now), m.loadDelay(e, j.adapter)
 	if step.Bounds.Accept(f, delay) {
--- a/pkg/placement/patterns_test.go
+++ b/pkg/placement/patterns_test.go
@@ -116,6 +116,11 @@
 
 func (r modelResult) String() string {
 	text := fmt.Sprintf("value %5.1f %%, by attempt %5.1f %%, busiest engine %.2f", 100*r.value/r.best, 100*r.attemptValue/r.best, r.skew)
+	requests := 0
+	for _, k := range r.kinds {
+		requests += k.requests
+	}
+	text += fmt.Sprintf(", calls a request %.2f", float64(r.calls)/float64(requests))
 	slices.Sort(r.errors)
 	for _, share := range []int{10, 50, 90} {
 		text += fmt.Sprintf(", forecast error p%d %v", share, r.errors[len(r.errors)*share/100].Round(time.Millisecond))
@@ -151,6 +156,7 @@
 	r.best += other.best
 	r.attemptValue += other.attemptValue
 	r.skew = max(r.skew, other.skew)
+	r.calls += other.calls
 	r.errors = append(r.errors, other.errors...)
 	addKinds(r.kinds, other.kinds)
 	addKinds(r.accounts, other.accounts)
