placement: tell the fixed time to the first event from the time per prompt token

Cause: on engines whose first event takes 80 ms whatever the prompt, that time was counted as time spent on prompt tokens. The estimate of a queue was then up to four times too long, and requests were refused while the engine was nearly idle. Change: the group's mean speed is a regression of the time to the first event on the prompt tokens; an engine has a ratio to it that expires within seconds.

--- a/pkg/placement/cost_load.go
+++ b/pkg/placement/cost_load.go
@@ -36,7 +36,7 @@
 func (c *costLoad) forecast(w Work, running, slots int, now time.Time) Forecast {
 	s := c.speed.at(now)
 	ahead, _ := c.unread.upTo(w)
-	own := s.Event + time.Duration(w.Unread)*s.Token
+	own := s.first(w.Unread)
 	later := c.laterArrivals(w, now)
 	other := c.slotWait(w, running, slots, s, later) + c.memoryWait(w, s)
 	other += prolonged(time.Duration(ahead+w.Unread)*s.Token, later.tokens*s.Token.Seconds())
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -12,9 +12,8 @@
 	engineHalfLife = time.Second
 	// groupHalfLife is the same for the mean of a group.
 	groupHalfLife = 30 * time.Second
-	// The assumed values count as much as measurements of priorTokens prompt tokens, priorEvents events or
-	// priorRuns requests.
-	priorTokens = 3000
+	// The assumed values count as much as first events after priorFirst in all, priorEvents events or priorRuns requests.
+	priorFirst  = 150 * time.Millisecond
 	priorEvents = 60
 	priorRuns   = 4
 	// initialEventTime is the time between two events of a stream, and initialRunTime the time from the first event
@@ -55,26 +54,32 @@
 
 // Speed is how fast an engine works.
 type Speed struct {
-	// Token is the processing time per prompt token, Event the time between two events of a response, and Run the
-	// time from the first event of a response to the last.
-	Token, Event, Run time.Duration
+	// Start is the time to the first event of a response to an empty prompt, and Token the processing time per prompt
+	// token.
+	Start, Token time.Duration
+	// Event is the time between two events of a response, and Run the time from the first event to the last.
+	Event, Run time.Duration
 }
 
-// rates are the measurements from which a Speed is computed.
-type rates struct{ token, event, run rate }
+// first returns the expected time to the first event of a response after that many prompt tokens.
+func (s Speed) first(tokens int) time.Duration { return s.Start + time.Duration(tokens)*s.Token }
 
-func (r *rates) speed(assumed Speed, halfLife time.Duration, now time.Time) Speed {
-	return Speed{
-		Token: r.token.value(assumed.Token, priorTokens, halfLife, now),
-		Event: r.event.value(assumed.Event, priorEvents, halfLife, now),
-		Run:   r.run.value(assumed.Run, priorRuns, halfLife, now),
-	}
+// rates are the measurements from which Event and Run of a Speed are computed.
+type rates struct{ event, run rate }
+
+func (r *rates) apply(s *Speed, halfLife time.Duration, now time.Time) {
+	s.Event = r.event.value(s.Event, priorEvents, halfLife, now)
+	s.Run = r.run.value(s.Run, priorRuns, halfLife, now)
 }
 
 // GroupSpeed is the mean speed of the engines of a group, learned from their responses. It is safe for concurrent use.
 type GroupSpeed struct {
-	mu    sync.Mutex
-	rates rates // guarded by mu
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	rates rates
+	// first fits the time to the first event to the number of prompt tokens.
+	first linearFit
 }
 
 // NewGroupSpeed returns the speed of a group without measurements.
@@ -84,13 +89,22 @@
 func (g *GroupSpeed) Mean(now time.Time) Speed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rates.speed(Speed{Token: initialTokenTime, Event: initialEventTime, Run: initialRunTime}, groupHalfLife, now)
+	return g.mean(now)
+}
+
+// mean returns the mean speed. g.mu is held.
+func (g *GroupSpeed) mean(now time.Time) Speed {
+	s := Speed{Event: initialEventTime, Run: initialRunTime}
+	g.rates.apply(&s, groupHalfLife, now)
+	s.Start, s.Token = g.first.fit(s.Event, now)
+	return s
 }
 
-func (g *GroupSpeed) addToken(d time.Duration, tokens float64, now time.Time) {
+// addFirst adds the time to the first event of a response after that many prompt tokens.
+func (g *GroupSpeed) addFirst(after time.Duration, tokens int, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.rates.token.add(d, tokens, groupHalfLife, now)
+	g.first.add(float64(tokens), float64(min(after, maxOutlier*g.mean(now).first(tokens))), now)
 }
 
 func (g *GroupSpeed) addRun(d time.Duration, events int, now time.Time) {
@@ -104,16 +118,51 @@
 
 // engineSpeed is the speed of one engine. Without recent measurements of the engine it is that of its group.
 type engineSpeed struct {
-	group *GroupSpeed
-	rates rates
+	group  *GroupSpeed
+	rates  rates
+	firsts firstEvents
+}
+
+// firstEvents are sums over the first events of an engine's responses that lose weight with engineHalfLife: the time that
+// they took, their number, and the prompt tokens before them.
+type firstEvents struct {
+	time, count, tokens float64
+	at                  time.Time
+}
+
+func (f *firstEvents) add(after time.Duration, tokens int, now time.Time) {
+	f.decay(now)
+	f.time += float64(after)
+	f.count++
+	f.tokens += float64(tokens)
+}
+
+func (f *firstEvents) decay(now time.Time) {
+	if age := now.Sub(f.at); age > 0 {
+		factor := math.Exp2(-float64(age) / float64(engineHalfLife))
+		f.time *= factor
+		f.count *= factor
+		f.tokens *= factor
+		f.at = now
+	}
+}
+
+// slowness returns the time that first events took as a multiple of what the mean speed lets expect.
+func (f firstEvents) slowness(mean Speed, now time.Time) float64 {
+	f.decay(now)
+	expected := f.count*float64(mean.Start) + f.tokens*float64(mean.Token)
+	return (f.time + float64(priorFirst)) / (expected + float64(priorFirst))
 }
 
 // at returns the speed at now.
 func (e *engineSpeed) at(now time.Time) Speed {
 	mean := e.group.Mean(now)
-	s := e.rates.speed(mean, engineHalfLife, now)
-	s.Token = boundRatio(s.Token, mean.Token)
+	s := mean
+	e.rates.apply(&s, engineHalfLife, now)
 	s.Event = boundRatio(s.Event, mean.Event)
+	ratio := e.firsts.slowness(mean, now)
+	s.Start = boundRatio(time.Duration(ratio*float64(mean.Start)), mean.Start)
+	s.Token = boundRatio(time.Duration(ratio*float64(mean.Token)), mean.Token)
 	return s
 }
 
@@ -124,12 +173,9 @@
 // firstEvent records that the first event of a response has arrived that long after the request was sent, when the
 // engine had to process that many prompt tokens up to it.
 func (e *engineSpeed) firstEvent(after time.Duration, tokens int, now time.Time) {
-	if tokens <= 0 {
-		return
-	}
-	reading := max(after-e.at(now).Event, 0)
-	e.rates.token.add(reading, float64(tokens), engineHalfLife, now)
-	e.group.addToken(reading, float64(tokens), now)
+	after = max(after, 0)
+	e.group.addFirst(after, tokens, now)
+	e.firsts.add(after, tokens, now)
 }
 
 // ended records that a response has ended that long after its first event.
