placement: admission to plain services by the lateness of their responses

Cause: endpoints of plain services refuse requests only when their queues are full. Change: in mode cost, a VM refuses a share of the requests to a service, learned from late responses and rejections; accounts beyond their usual rate are refused first, callers that return last.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -63,6 +64,7 @@
 	returns   placement.ReturnSchedule
 	costs     placement.CostContext
 	services  *placement.Services
+	admission *placement.ServiceAdmission
 	lengths   *placement.Lengths
 	// refused counts, by urgency, the requests that no engine could take in time, beyondHomes those sent to other
 	// engines than their homes.
@@ -79,6 +81,7 @@
 		hotKeys:   placement.NewHotKeys(),
 		costs:     placement.NewCostContext(cfg.FailureDomain),
 		services:  placement.NewServices(),
+		admission: placement.NewServiceAdmission(rand.Float64),
 		lengths:   placement.NewLengths(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -9,6 +9,7 @@
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/placement"
+	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -18,6 +19,9 @@
 	var cost time.Duration
 	by := "least_cost"
 	if d.cfg.Placement == placement.Cost {
+		if err := d.admitToService(req, now); err != nil {
+			return gateway.Placement{}, err
+		}
 		by = "soonest"
 		e, cost = d.services.Pick(candidates, d.health.outstanding, d.cfg.FailureDomain, req.Route.Objective, rand.IntN, now)
 	} else {
@@ -31,14 +35,31 @@
 	if d.cfg.Placement != placement.Cost {
 		return d.newPlacement(e, 0, 0, func(orders.PermitUpdate) {}), nil
 	}
-	return d.newServicePlacement(e), nil
+	return d.newServicePlacement(req, e), nil
+}
+
+// admitToService refuses a request to a plain service whose queues are too long, unless the request has been sent before.
+func (d *Dispatcher) admitToService(req gateway.Request, now time.Time) error {
+	if len(req.Exclude) > 0 {
+		return nil
+	}
+	retryAfter, ok := d.admission.Admit(placement.ServiceRequest{
+		Group: req.Group.Name, Route: req.Route.Name, Account: req.Account, OverLimit: req.OverLimit, TimeLimit: req.Terms.Timeout,
+	}, now)
+	if ok {
+		return nil
+	}
+	e := result.New(result.QueueFull, "the queues of the service are too long for most requests to be in time")
+	e.RetryAfter = retryAfter
+	return e
 }
 
-// newServicePlacement returns a placement from whose outcome the speed of the service is learned.
-func (d *Dispatcher) newServicePlacement(e roster.Endpoint) gateway.Placement {
+// newServicePlacement returns a placement from whose outcome the speed and the overload of the service are learned.
+func (d *Dispatcher) newServicePlacement(req gateway.Request, e roster.Endpoint) gateway.Placement {
 	p := d.newPlacement(e, 0, 0, func(u orders.PermitUpdate) {
 		if u.Started {
 			d.services.Served(e, u.First, time.Now())
+			d.admission.Responded(req.Group.Name, u.First, req.Route.Objective, time.Now())
 		}
 	})
 	done := p.Done
@@ -47,6 +68,9 @@
 		if o.Rejected || o.Failed {
 			d.services.Full(e, time.Now())
 		}
+		if o.Rejected && !o.AdapterMissing {
+			d.admission.Rejected(req.Group.Name, time.Now())
+		}
 		done(o)
 	}
 	return p
