--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +22,7 @@
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
@@ -44,9 +46,11 @@
 	// Limits keeps endpoints within the rate limits that they state.
 	Limits *ratelimit.Limiter
 	// Newest returns the newest version of an adapter that the operator has declared; 0 if none.
-	Newest  func(residency.Key) int
-	Metrics metrics.Registry
-	Log     logrus.FieldLogger
+	Newest func(residency.Key) int
+	// Placement selects the logic that chooses engines.
+	Placement placement.Mode
+	Metrics   metrics.Registry
+	Log       logrus.FieldLogger
 }
 
 // Dispatcher implements gateway.Dispatcher. It is safe for concurrent use.
@@ -55,26 +59,55 @@
 	health    *healthTracker
 	owners    *ownerClient
 	locations *adapterLocations
-	hotKeys   *hotKeys
+	hotKeys   *placement.HotKeys
 	reports   *reportCache
-	returns   returnSchedule
+	returns   placement.ReturnSchedule
+	costs     placement.CostContext
+	services  *placement.Services
+	admission *placement.ServiceAdmission
+	lengths   *placement.Lengths
+	// refused counts, by urgency, the requests that no engine could take in time, beyondHomes those sent to other
+	// engines than their homes.
+	refused     [refusedRanks]metrics.Counter
+	beyondHomes metrics.Counter
 	// withheld counts the requests that were kept from endpoints because their failure domain is evacuated.
 	withheld metrics.Counter
 }
 
 // New returns a Dispatcher.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		cfg:       cfg,
 		health:    newHealthTracker(cfg.Metrics, cfg.Log),
 		locations: newAdapterLocations(),
-		hotKeys:   newHotKeys(),
+		hotKeys:   placement.NewHotKeys(),
+		costs:     placement.NewCostContext(cfg.FailureDomain),
+		services:  placement.NewServices(),
+		admission: placement.NewServiceAdmission(rand.Float64),
+		lengths:   placement.NewLengths(),
 		reports:   newReportCache(cfg.Engines, cfg.Log),
 		withheld:  metrics.GetOrRegisterCounter(metricWithheld, cfg.Metrics),
 		owners:    newOwnerClient(cfg.Self, cfg.Incarnation, cfg.Orders, cfg.Leases, cfg.PeerClient, cfg.Log),
 	}
+	metrics.NewRegisteredFunctionalGauge(metricHeld, cfg.Metrics, d.costs.Admission.Held)
+	d.beyondHomes = metrics.GetOrRegisterCounter(metricBeyondHomes, cfg.Metrics)
+	for rank := range d.refused {
+		d.refused[rank] = metrics.GetOrRegisterCounter(metricRefused+strconv.Itoa(rank), cfg.Metrics)
+	}
+	return d
 }
 
+const (
+	// metricHeld is the name of the gauge of requests that wait for an engine to become less busy.
+	metricHeld = "dispatch.held"
+	// metricRefused is the beginning of the names of the counters of requests that no engine could take in time. The
+	// urgency follows; the last one stands for all that are less urgent.
+	metricRefused = "dispatch.refused.rank_"
+	refusedRanks  = 4
+	// metricBeyondHomes counts the requests sent to engines that are none of their homes.
+	metricBeyondHomes = "dispatch.beyond_homes"
+)
+
 // sweepInterval is the time between two passes that discard outdated entries of the dispatcher's tables.
 const sweepInterval = 10 * time.Second
 
@@ -83,7 +116,10 @@
 	go clock.Every(ctx, sweepInterval, func(now time.Time) {
 		d.health.sweep(now)
 		d.locations.sweep(now)
-		d.hotKeys.sweep(now)
+		d.hotKeys.Sweep(now)
+		d.costs.Sweep(now)
+		d.services.Sweep(now)
+		d.lengths.Sweep(now)
 		d.reports.sweep(now)
 	})
 	d.owners.run(ctx)
@@ -108,13 +144,13 @@
 // Place implements gateway.Dispatcher.
 func (d *Dispatcher) Place(ctx context.Context, req gateway.Request) (gateway.Placement, error) {
 	for range maxPlaceTries {
-		placement, err := d.tryPlace(ctx, req)
+		chosen, err := d.tryPlace(ctx, req)
 		if errors.Is(err, errEvacuated) {
 			d.withheld.Inc(1)
 			continue
 		}
 		if !errors.Is(err, errOverLimit) {
-			return placement, err
+			return chosen, err
 		}
 	}
 	return gateway.Placement{}, d.noRoomError(req, time.Now())
@@ -136,13 +172,7 @@
 		leaving = d.cfg.Limits.Unblocked(d.health.candidates(leaving, req.Exclude, now), now)
 		return d.placeOnEngine(ctx, req, candidates, leaving)
 	}
-	e, cost := d.health.pickService(candidates, d.cfg.FailureDomain, rand.IntN)
-	limit := d.takeLimit(req, e)
-	if !limit.Granted {
-		return gateway.Placement{}, errOverLimit
-	}
-	d.logPlaced(req, e, limit, logrus.Fields{"by": "least_cost", "cost": cost.Round(time.Microsecond), "candidates": len(candidates)})
-	return d.newPlacement(e, 0, 0, func(orders.PermitUpdate) {}), nil
+	return d.placeOnService(req, candidates, now)
 }
 
 // group returns the endpoints that may serve the request.
@@ -176,7 +206,7 @@
 func (d *Dispatcher) noRoomError(req gateway.Request, until time.Time) error {
 	now := time.Now()
 	e := result.New(result.QueueFull, "the endpoints that are left have asked for a pause or are at the rate limits that they state")
-	e.RetryAfter = max(d.returns.schedule(req.Group.Name, until, d.returnInterval(d.group(req), now), now).Sub(now), minRetryAfter)
+	e.RetryAfter = max(d.returns.Schedule(req.Group.Name, until, d.returnInterval(d.group(req), now), now).Sub(now), placement.MinRetryAfter)
 	return e
 }
 
@@ -207,7 +237,7 @@
 		Progress: recordActivity,
 		Done: func(o gateway.Outcome) {
 			d.health.requestDone(e.Incarnation, o, trial, time.Now())
-			notify(orders.PermitUpdate{Ended: true, Missing: o.AdapterMissing})
+			notify(orders.PermitUpdate{Ended: true, Missing: o.AdapterMissing, Ran: o.Ran, Events: o.Events})
 		},
 	}
 }
--- a/pkg/dispatch/evacuation.go
+++ b/pkg/dispatch/evacuation.go
@@ -10,6 +10,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 )
 
@@ -42,9 +43,9 @@
 func (s *search) placeWhileMoving(ctx context.Context, homes, leaving []roster.Endpoint) (gateway.Placement, bool) {
 	unheld := false
 	for _, e := range homes {
-		placement, reply, ok := s.acquire(ctx, e, waitBounds{s.objectiveShare(immediateWaitShare), 0})
+		chosen, reply, ok := s.acquire(ctx, s.plan.AskHeld(e))
 		if ok {
-			return placement, true
+			return chosen, true
 		}
 		if held := reply.Status == orders.Offered && reply.Delay == 0; held || s.overLimit {
 			return gateway.Placement{}, false
@@ -57,9 +58,9 @@
 		return gateway.Placement{}, false
 	}
 	go s.d.moveAdapter(context.WithoutCancel(ctx), s.req, homes[0])
-	for _, e := range leaving[:min(len(leaving), defaultHomeCount)] {
-		if placement, _, ok := s.acquire(ctx, e, waitBounds{s.maxWait(), 0}); ok {
-			return placement, true
+	for _, e := range leaving[:min(len(leaving), placement.DefaultHomeCount)] {
+		if chosen, _, ok := s.acquire(ctx, s.plan.SendHeld(e)); ok {
+			return chosen, true
 		}
 	}
 	return gateway.Placement{}, false
--- a/pkg/dispatch/evacuation_test.go
+++ b/pkg/dispatch/evacuation_test.go
@@ -16,6 +16,7 @@
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/orders"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/result"
 	"github.com/mallowlink/mallowlink/pkg/roster"
@@ -128,7 +129,7 @@
 				outside = append(outside, e)
 			}
 		}
-		home := rankHomes("m/moving", outside)[0].ID
+		home := placement.RankHomes("m/moving", outside)[0].ID
 		require.Equal(t, map[string]int{home: 1}, h.moved, "the adapter is ordered at its next home")
 		time.Sleep(loadTime)
 		require.Equal(t, home, place(t, d, "moving").ID)
@@ -194,7 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHeldAdapters()
 		all := domainEngines(time.Time{}, time.Time{})
-		first := rankHomes("m/a", all)[0]
+		first := placement.RankHomes("m/a", all)[0]
 		north, east := time.Time{}, time.Time{}
 		if first.FailureDomain == "north" {
 			north = time.Now()
@@ -203,7 +204,7 @@
 		}
 		h.hold(first.ID, "a", time.Now())
 		d := evacuationDispatcher(h, all)
-		s := &search{d: d, req: requestFor("r", "a"), objective: time.Second, waitDeadline: time.Now().Add(time.Second)}
+		s := &search{d: d, req: requestFor("r", "a"), plan: placement.Request{Objective: time.Second, WaitDeadline: time.Now().Add(time.Second)}}
 		d.cfg.Roster.Set(roster.NewView(domainEngines(north, east)))
 		ended := false
 		_, _, ok := s.granted(first, orders.AcquireReply{}, func(u orders.PermitUpdate) { ended = u.Ended })
@@ -219,10 +220,10 @@
 		d, homes := o.dispatcher("a", 2)
 		o.loaded = map[string][]string{homes[0]: {"a"}, homes[2]: {"a"}}
 		place := func() string {
-			placement, err := d.Place(t.Context(), requestFor("r", "a"))
+			chosen, err := d.Place(t.Context(), requestFor("r", "a"))
 			require.NoError(t, err)
-			placement.Done(gateway.Outcome{})
-			return placement.Endpoint.ID
+			chosen.Done(gateway.Outcome{})
+			return chosen.Endpoint.ID
 		}
 		o.busy[homes[2]] = 5
 		require.Equal(t, homes[0], place(), "by report")
@@ -239,13 +240,13 @@
 		reads := o.reads[homes[0]]
 		time.Sleep(reportTTL)
 		require.Equal(t, homes[2], place())
-		s := &search{d: d, req: requestFor("r", "a"), objective: time.Second}
+		s := &search{d: d, req: requestFor("r", "a"), plan: placement.Request{Objective: time.Second}}
 		known, _ := d.cfg.Roster.View().Endpoint(homes[0])
 		_, ok := s.placeAtKnownLocation(known)
 		require.False(t, ok)
-		placement, ok := s.placeByReport(t.Context(), rankHomes("m/a", list))
+		chosen, ok := s.placeByReport(t.Context(), placement.RankHomes("m/a", list))
 		require.True(t, ok)
-		require.Equal(t, homes[2], placement.Endpoint.ID, "the ranking may be older than the evacuation")
+		require.Equal(t, homes[2], chosen.Endpoint.ID, "the ranking may be older than the evacuation")
 		require.Equal(t, reads, o.reads[homes[0]], "evacuated engines are not polled")
 	})
 }
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -65,12 +65,17 @@
 	Urgency int
 	// Tokens is the length of the prompt, and Output the limit on the response's length, both in tokens.
 	Tokens, Output int
-	Prompt         []dialect.PromptPart
+	// Expected is the expected length of the response in tokens, and Events that in events; 0 if they are not known.
+	Expected, Events int
+	Prompt           []dialect.PromptPart
 	// Left is the longest time to wait for the adapter, and Life the longest time that the request can last.
 	Left, Life time.Duration
 	// Bound is the longest expected time to the first token that the caller accepts, and LoadBound the
 	// longest expected wait for the adapter.
 	Bound, LoadBound time.Duration
+	// TotalBound, if not 0, bounds the expected time to the first token together with the work of less urgent
+	// requests that the request would delay.
+	TotalBound time.Duration
 	// Prefetch asks for the adapter to be loaded if no request is waiting for a load. No permit is granted.
 	Prefetch bool
 	// Moving says that the adapter is prefetched because the engines that hold it are evacuated. It is then loaded also if
@@ -93,10 +98,26 @@
 	// Own is the time to the first token that the request would have at an idle engine. It is the part of
 	// Estimate that is not caused by other requests.
 	Own time.Duration
+	// Run is the expected time from the first token to the end of the response; 0 if it is not known.
+	Run time.Duration
+	// Displaced is the time that the engine needs for the prompts of less urgent requests, which the request delays.
+	Displaced time.Duration
 	// Waited is how long the request has waited for the adapter in this call, and Delay the expected further
 	// wait.
 	Waited time.Duration
 	Delay  time.Duration
+	// Spares are the least loaded engines of the same group that the owner owns, if the request would have to wait.
+	Spares []Spare
+}
+
+// Spare is one of the least loaded engines of an owner.
+type Spare struct {
+	// Endpoint and Started identify the engine's process.
+	Endpoint string
+	Started  int64
+	// Queue is the expected time until a request of the same urgency would begin there, and Load the expected wait
+	// for its adapter.
+	Queue, Load time.Duration
 }
 
 // PermitUpdate reports to the owner of an engine that the request of a permit has started or ended.
@@ -105,8 +126,11 @@
 	// Started is set if the first token has arrived, and First is the time that it took.
 	Started bool
 	First   time.Duration
-	// Ended is set if the request has ended at the engine.
-	Ended bool
+	// Ended is set if the request has ended at the engine. Ran is then the time from the first event of the
+	// response to the last, and Events the number of events; 0 if they are not known.
+	Ended  bool
+	Ran    time.Duration
+	Events int
 	// Missing is set if the engine rejected the request because it did not hold the adapter.
 	Missing bool
 }
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/residency"
 	"github.com/mallowlink/mallowlink/pkg/roster"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
@@ -29,6 +30,9 @@
 	// each further failure, up to maxBackoff.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// permitGrace is how long a permit is kept beyond the longest time that its request can last. After that,
+	// the permit expires even if no update says that the request has ended.
+	permitGrace = 500 * time.Millisecond
 	// idleInterval is the longest time between two checks for expired permits.
 	idleInterval = time.Second
 	// leaseCheckInterval is the time between two checks of a lease that is not held.
@@ -52,10 +56,10 @@
 	// The fields below are guarded by mu.
 
 	planner *residency.Planner
-	load    engineLoad
+	load    placement.Load
 	waiters map[residency.Key][]*waiter
 	// cancelled maps permits that ended before they were granted to the time until which they are remembered.
-	cancelled map[permitKey]time.Time
+	cancelled map[placement.PermitKey]time.Time
 	// loggedAt is when the engine's state was last logged.
 	loggedAt          time.Time
 	roundTrip         time.Duration
@@ -91,9 +95,9 @@
 			WarmCount:  residency.DefaultWarmCount,
 			Newest:     s.cfg.Newest,
 		}),
-		load:      newEngineLoad(spec.RequestSlots, spec.CacheTokens),
+		load:      s.newLoad(e.Group, spec),
 		waiters:   map[residency.Key][]*waiter{},
-		cancelled: map[permitKey]time.Time{},
+		cancelled: map[placement.PermitKey]time.Time{},
 		model:     spec.Model,
 		roundTrip: initialRoundTrip,
 	}
@@ -147,8 +151,9 @@
 	} else {
 		w.planner.RequireReport(now)
 	}
+	permits, _ := w.load.Running()
 	w.service.cfg.Log.WithFields(logrus.Fields{
-		"event": "engine_evacuation", "endpoint": w.endpoint.ID, "evacuated": evacuating, "requests": w.load.running,
+		"event": "engine_evacuation", "endpoint": w.endpoint.ID, "evacuated": evacuating, "requests": permits,
 	}).Info("orders to the engine ended or began again with the evacuation of its failure domain")
 }
 
@@ -191,12 +196,13 @@
 // stateLocked returns the engine's state. w.mu must be held.
 func (w *worker) stateLocked() EngineState {
 	sum := w.planner.Summary()
+	running, unread := w.load.Running()
 	return EngineState{
 		Endpoint: w.endpoint.ID, Started: w.endpoint.Started, Lease: w.lease,
 		Ready: w.planner.Ready(), Down: !w.downUntil.IsZero(), Evacuated: w.evacuating,
 		Held: sum.Held, InUse: sum.InUse, Loading: sum.Loading, Wanted: sum.Wanted,
-		LoadTime: sum.LoadTime.Round(time.Millisecond).String(), TokenTime: w.load.tokenTime.String(),
-		Requests: w.load.running, Unread: w.load.unread,
+		LoadTime: sum.LoadTime.Round(time.Millisecond).String(), TokenTime: w.load.TokenTime().String(),
+		Requests: running, Unread: unread,
 	}
 }
 
@@ -352,7 +358,7 @@
 		entry.WithError(err).Warn("order failed, outcome unknown")
 	}
 	if a.Kind == residency.Evict && reply == engine.Holds {
-		w.load.cache.removeAdapter(a.Adapter.Name)
+		w.load.ForgetAdapter(a.Adapter.Name)
 	}
 	w.serveWaiters(now)
 }
@@ -378,7 +384,7 @@
 }
 
 // cancelPermit remembers that a permit ended before it was granted, so that it is not granted later.
-func (w *worker) cancelPermit(key permitKey, now time.Time) {
+func (w *worker) cancelPermit(key placement.PermitKey, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancelled[key] = now.Add(2 * MaxWait)
@@ -391,15 +397,15 @@
 			delete(w.cancelled, key)
 		}
 	}
-	for _, key := range w.load.expired(now) {
+	for _, key := range w.load.Expired(now) {
 		w.endPermit(key, now)
 	}
 }
 
 // endPermit removes a permit and releases its adapter. w.mu must be held.
-func (w *worker) endPermit(key permitKey, now time.Time) {
-	if p := w.load.remove(key); p != nil && p.adapter != "" {
-		w.planner.Release(residency.Key{Model: w.model, Name: p.adapter}, now)
+func (w *worker) endPermit(key placement.PermitKey, now time.Time) {
+	if adapter, ok := w.load.Remove(key); ok && adapter != "" {
+		w.planner.Release(residency.Key{Model: w.model, Name: adapter}, now)
 	}
 }
 
@@ -421,11 +427,10 @@
 		w.mu.Unlock()
 		return AcquireReply{Status: Offered}
 	}
-	estimate, delay := w.estimate(args), w.adapterDelay(args, key, start)
-	if estimate > args.Bound || delay > args.LoadBound {
-		own := w.load.idleEstimate(w.unread(args))
+	f, delay := w.load.Forecast(w.work(args), start), w.adapterDelay(args, key, start)
+	if bounds := (placement.Bounds{First: args.Bound, Load: args.LoadBound, Total: args.TotalBound}); !bounds.Accept(f, delay) {
 		w.mu.Unlock()
-		return AcquireReply{Status: Offered, Estimate: estimate, Own: own, Delay: delay}
+		return AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Displaced: f.Displaced, Delay: delay}
 	}
 	if reply, ok := w.grant(args, key, start); ok {
 		w.mu.Unlock()
@@ -448,7 +453,8 @@
 	if !now.Before(from) {
 		return AcquireReply{Status: Down}
 	}
-	reply := AcquireReply{Status: Offered, Estimate: w.estimate(args), Own: w.load.idleEstimate(w.unread(args)), Delay: noLoad}
+	f := w.load.Forecast(w.work(args), now)
+	reply := AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Displaced: f.Displaced, Delay: noLoad}
 	if args.Prefetch || reply.Estimate > args.Bound {
 		return reply
 	}
@@ -501,21 +507,22 @@
 	w.signal()
 }
 
-// estimate returns the expected time to the first token of a request. w.mu must be held.
-func (w *worker) estimate(args *AcquireArgs) time.Duration {
-	return w.load.estimate(w.unread(args))
-}
-
-// unread returns the number of a request's prompt tokens that the engine has to process. w.mu must be held.
-func (w *worker) unread(args *AcquireArgs) int {
-	return w.load.cache.unread(args.Adapter, args.Prompt, args.Tokens)
+// work returns what the engine has to do for a request. w.mu must be held.
+func (w *worker) work(args *AcquireArgs) placement.Work {
+	unread := w.load.Unread(args.Adapter, args.Prompt, args.Tokens)
+	output := args.Output
+	if args.Expected > 0 {
+		output = args.Expected
+	}
+	return placement.Work{Unread: unread, Memory: unread + output, Events: args.Events, Urgency: args.Urgency}
 }
 
 // grant grants a permit if the adapter is usable now. w.mu must be held.
 func (w *worker) grant(args *AcquireArgs, key residency.Key, now time.Time) (AcquireReply, bool) {
-	unread := w.unread(args)
-	reply := AcquireReply{Status: Granted, Estimate: w.load.estimate(unread)}
-	if _, gone := w.cancelled[permitKey{args.Incarnation, args.Permit}]; gone || !w.planner.Ready() {
+	work := w.work(args)
+	f := w.load.Forecast(work, now)
+	reply := AcquireReply{Status: Granted, Estimate: f.First, Run: f.Run}
+	if _, gone := w.cancelled[placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}]; gone || !w.planner.Ready() {
 		return AcquireReply{}, false
 	}
 	if args.Adapter != "" {
@@ -525,8 +532,8 @@
 		}
 		reply.Version = version
 	}
-	w.load.cache.add(args.Adapter, args.Prompt)
-	w.load.add(permitKey{args.Incarnation, args.Permit}, args.Adapter, unread, now.Add(args.Life+permitGrace))
+	w.load.CachePrompt(args.Adapter, args.Prompt)
+	w.load.Add(placement.PermitKey{Incarnation: args.Incarnation, Permit: args.Permit}, args.Adapter, work, f, now, now.Add(args.Life+permitGrace))
 	return reply, true
 }
 
@@ -550,21 +557,22 @@
 // applyUpdate applies an update to a permit. It reports whether the permit is known.
 func (w *worker) applyUpdate(incarnation string, n PermitUpdate) bool {
 	now := time.Now()
-	key := permitKey{incarnation, n.Permit}
+	key := placement.PermitKey{Incarnation: incarnation, Permit: n.Permit}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.load.permits[key]
-	if p == nil {
+	adapter, ok := w.load.Adapter(key)
+	if !ok {
 		return false
 	}
 	if n.Started {
-		w.load.markStarted(key, n.First)
+		w.load.MarkStarted(key, n.First, now)
 	}
 	if n.Missing {
-		w.planner.MarkMissing(residency.Key{Model: w.model, Name: p.adapter}, now)
+		w.planner.MarkMissing(residency.Key{Model: w.model, Name: adapter}, now)
 		w.signal()
 	}
 	if n.Ended {
+		w.load.RecordRun(key, n.Ran, n.Events, now)
 		w.endPermit(key, now)
 		if len(w.waiters) > 0 {
 			w.signal()
