Client accounts: refused callers get the time at which their tokens are free

Cause: the time to retry was what the account's rate pays in that time. TestRetryAfterIsWhenTokensBecomeAvailable asked for the time that the rate alone gives, although all tokens had been spent just then; it now asks for the time at which they leave the window.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -20,6 +20,9 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked to retry.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// reportsRetryAfter is the time after which a caller is asked to retry if the home waits for reports of VMs: a few
+	// polls that fail.
+	reportsRetryAfter = 4 * usagePollInterval
 )
 
 // Request reports to the home of an account what a VM has spent and holds, and requests tokens. As the reply to
@@ -95,6 +98,8 @@
 	absentShare float64
 	// unresponsive is the set of VMs that have not responded for unresponsiveAfter and are not proven gone.
 	unresponsive map[string]bool
+	// nextReturn is the earliest time that the next refused request is given as the time to return.
+	nextReturn time.Time
 	// lastLogged is when account_scarce was last logged for the account.
 	lastLogged time.Time
 }
@@ -258,7 +263,7 @@
 		Used: usage.used, Lent: usage.lendable, Absent: a.absentShare,
 	}
 	if reply.Tokens < req.Need {
-		reply.RetryAfter = a.retryAfter(req.Need - remaining)
+		reply.RetryAfter = a.retryAfter(req.Need, req.Need-remaining, now)
 	}
 	u.held += reply.Tokens
 	u.committed += reply.Tokens
@@ -308,12 +313,48 @@
 	return req.Need + min(max(req.Want-req.Need, 0), spare/spareDivisor)
 }
 
-// retryAfter estimates the time until the missing tokens become available, as the oldest spending leaves the window.
-func (a *account) retryAfter(missing int64) time.Duration {
+// retryAfter returns the time after which a refused request that needs tokens, of which some are missing, can be admitted.
+// Refused requests get times one after the other, at the rate of the account, so that they do not all return for the same
+// tokens.
+func (a *account) retryAfter(need, missing int64, now time.Time) time.Duration {
 	perSecond := a.policy.lendable(a.limit) / a.policy.Window.Seconds()
 	if perSecond <= 0 {
 		return maxRetryAfter
 	}
-	d := time.Duration(float64(missing) / perSecond * float64(time.Second))
-	return min(max(d, minRetryAfter), maxRetryAfter)
+	if a.awaitsReports(missing, now) {
+		return reportsRetryAfter
+	}
+	at := now.Add(max(a.timeUntilFreed(missing, now), minRetryAfter))
+	if a.nextReturn.After(at) {
+		at = a.nextReturn
+	}
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
+		at = latest
+	}
+	a.nextReturn = at.Add(time.Duration(float64(need) / perSecond * float64(time.Second)))
+	return at.Sub(now)
+}
+
+// awaitsReports reports whether the missing tokens count as spent only because VMs have not reported yet to a home that has
+// just begun. Their reports arrive within a fraction of a second.
+func (a *account) awaitsReports(missing int64, now time.Time) bool {
+	return now.Sub(a.gainedAt) < unresponsiveAfter && float64(missing) <= a.absentShare*a.policy.lendable(a.limit)
+}
+
+// timeUntilFreed returns the time until that many of the tokens spent have left the window. Tokens that VMs hold or are
+// assumed to have spent leave it at times that the home does not know; a window is returned if they are needed.
+func (a *account) timeUntilFreed(tokens int64, now time.Time) time.Duration {
+	bins := int(a.policy.Window/binWidth) + 1
+	for step := 1; step <= bins; step++ {
+		for _, u := range a.usage {
+			u.spent.advance(now)
+			if len(u.spent.bins) >= step {
+				tokens -= u.spent.bins[len(u.spent.bins)-step]
+			}
+		}
+		if tokens <= 0 {
+			return time.Duration(step) * binWidth
+		}
+	}
+	return a.policy.Window
 }
--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -415,16 +415,57 @@
 	require.LessOrEqual(t, float64(maxWithinWindow(append(before, after...))), windowBound())
 }
 
-// A refused caller must be given the time until its tokens are available again, even when more tokens count as used than
-// may be lent.
+// A refused caller must be given the time until its tokens are available again: when the oldest spending leaves the window,
+// not when the rate of the account alone would have paid for them. At a flood, most of the window is spent in its newest bins.
 func TestRetryAfterIsWhenTokensBecomeAvailable(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	lent := int64(testPolicy.lendable(testLimit))
+	refused := func(spent ...int64) time.Duration {
+		home := newAccount(testPolicy, testLimit, 1, now)
+		home.reported = map[string]bool{"a": true}
+		reply := home.settle(Request{VM: "a", Incarnation: "1", Spent: spent, Need: 100, Want: 100}, now)
+		require.Zero(t, reply.Tokens)
+		return reply.RetryAfter
+	}
+	require.Equal(t, testPolicy.Window+binWidth, refused(lent), "all spent just now")
+	bins := make([]int64, testPolicy.Window/binWidth+1)
+	bins[0], bins[len(bins)-1] = lent-100, 100
+	require.Equal(t, binWidth, refused(bins...), "enough leaves the window next")
+	bins[len(bins)-1], bins[len(bins)-4] = 50, 50
+	require.Equal(t, 4*binWidth, refused(bins...), "the rest leaves it later")
+}
+
+// A caller that is refused because a new home does not know yet what the VMs have spent must not be kept away for the length of
+// a window: the reports arrive within a fraction of a second.
+func TestRetryAfterIsShortWhileReportsAreMissing(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	home := newAccount(testPolicy, testLimit, 10, now)
+	home.absentShare = 1
+	reply := home.settle(Request{VM: "a", Incarnation: "1", Need: 100, Want: 100}, now)
+	require.Equal(t, reportsRetryAfter, reply.RetryAfter)
+	later := now.Add(unresponsiveAfter)
+	reply = home.settle(Request{VM: "a", Incarnation: "1", Seq: 1, Need: 100, Want: 100}, later)
+	require.Equal(t, testPolicy.Window, reply.RetryAfter, "a VM that does not report for long may be spending")
+}
+
+// Callers that are refused together must not be asked to return together, since most of them would be refused again.
+func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	home := newAccount(testPolicy, testLimit, 1, now)
 	home.reported = map[string]bool{"a": true}
 	lent := testPolicy.lendable(testLimit)
-	over := Request{VM: "a", Incarnation: "1", Spent: []int64{int64(1.25 * lent)}, Need: 100, Want: 100}
-	reply := home.settle(over, now)
-	require.Zero(t, reply.Tokens)
+	bins := make([]int64, testPolicy.Window/binWidth+1)
+	bins[len(bins)-1] = int64(lent)
 	perSecond := lent / testPolicy.Window.Seconds()
-	require.InDelta(t, (0.25*lent+100)/perSecond, reply.RetryAfter.Seconds(), 0.01)
+	const need = 2000
+	last := time.Duration(0)
+	for i := range 20 {
+		reply := home.settle(Request{VM: "a", Incarnation: "1", Seq: uint64(i), Spent: bins, Need: need, Want: need}, now)
+		require.Zero(t, reply.Tokens)
+		if i > 0 {
+			require.InDelta(t, need/perSecond, (reply.RetryAfter - last).Seconds(), 0.001)
+		}
+		last = reply.RetryAfter
+		require.LessOrEqual(t, last, maxRetryAfter)
+	}
 }
