--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -257,21 +257,13 @@
 		return Reply{}
 	}
 	usage := a.tightestUsage(now)
-	left := usage.remaining()
-	scarce := left < scarceShare*a.policy.lendable(a.limit)
-	paced := false
-	if a.policy.Paced {
-		p := a.pace(now)
-		paced = p.remaining < left
-		left, scarce = min(left, p.remaining), scarce || p.scarce
-	}
-	remaining := int64(math.Floor(left))
+	remaining := int64(math.Floor(usage.remaining()))
 	reply := Reply{
-		Tokens: a.grantSize(req, remaining, scarce), Excess: usage.used >= a.policy.windowLimit(usage.limit),
+		Tokens: a.grantSize(req, remaining), Excess: usage.used >= a.policy.windowLimit(usage.limit),
 		Used: usage.used, Lent: usage.lendable, Absent: a.absentShare,
 	}
 	if reply.Tokens < req.Need {
-		reply.RetryAfter = a.retryAfter(req.Need, req.Need-remaining, paced, now)
+		reply.RetryAfter = a.retryAfter(req.Need, req.Need-remaining, now)
 	}
 	u.held += reply.Tokens
 	u.committed += reply.Tokens
@@ -310,12 +302,12 @@
 
 // grantSize returns the number of tokens to lend: what is needed, and part of what is requested beyond that as long
 // as plenty remain for the other VMs.
-func (a *account) grantSize(req Request, remaining int64, scarce bool) int64 {
+func (a *account) grantSize(req Request, remaining int64) int64 {
 	if remaining < req.Need {
 		return 0
 	}
 	spare := remaining - req.Need
-	if scarce {
+	if float64(remaining) < scarceShare*a.policy.lendable(a.limit) {
 		return req.Need
 	}
 	return req.Need + min(max(req.Want-req.Need, 0), spare/spareDivisor)
@@ -323,8 +315,8 @@
 
 // retryAfter returns the time after which a refused request that needs tokens, of which some are missing, can be admitted.
 // Refused requests get times one after the other, at the rate of the account, so that they do not all return for the same
-// tokens. paced says that the pace keeps the tokens back, which then become free at the rate of the account.
-func (a *account) retryAfter(need, missing int64, paced bool, now time.Time) time.Duration {
+// tokens.
+func (a *account) retryAfter(need, missing int64, now time.Time) time.Duration {
 	perSecond := a.policy.lendable(a.limit) / a.policy.Window.Seconds()
 	if perSecond <= 0 {
 		return maxRetryAfter
@@ -332,12 +324,7 @@
 	if a.awaitsReports(missing, now) {
 		return reportsRetryAfter
 	}
-	free := a.timeUntilFreed(missing, now)
-	if paced && a.limit.Rate > 0 {
-		perSecond = a.limit.Rate
-		free = time.Duration(float64(missing) / perSecond * float64(time.Second))
-	}
-	at := now.Add(max(free, minRetryAfter))
+	at := now.Add(max(a.timeUntilFreed(missing, now), minRetryAfter))
 	if a.nextReturn.After(at) {
 		at = a.nextReturn
 	}
--- a/pkg/allowance/policy.go
+++ b/pkg/allowance/policy.go
@@ -29,10 +29,6 @@
 	// a share of it, Slack a number of tokens.
 	Overage float64
 	Slack   float64
-	// Paced spreads what an account may use over the window, as a token bucket does: after Burst tokens it gets Rate tokens
-	// per second. Otherwise an account that sends many times its usual uses up its whole window at once, crowds the
-	// endpoints meanwhile, and is refused everything for the rest of the window.
-	Paced bool
 }
 
 const (
