--- a/pkg/placement/service_admission_test.go
+++ b/pkg/placement/service_admission_test.go
@@ -8,18 +8,18 @@
 	"github.com/stretchr/testify/require"
 )
 
-// serviceModel is a service of some endpoints with few slots and a queue, which is called by many VMs.
-type serviceModel struct {
+// overloadModel is a service of some endpoints with few slots and a queue, which is called by many VMs.
+type overloadModel struct {
 	random    *rand.Rand
-	endpoints []serviceQueue
+	endpoints []overloadedEndpoint
 	admission []*ServiceAdmission // by VM; nil if there is none
 	inTime    int
 	late      int
 	refused   map[string]int
 }
 
-// serviceQueue is an endpoint: the times at which its requests will end, per slot, and the requests it holds.
-type serviceQueue struct {
+// overloadedEndpoint is an endpoint: the times at which its requests will end, per slot, and the requests it holds.
+type overloadedEndpoint struct {
 	free []time.Time
 	ends []time.Time
 }
@@ -31,10 +31,10 @@
 	modelObjective = 150 * time.Millisecond
 )
 
-func newServiceModel(seed int64, vms int, shed bool) *serviceModel {
-	m := &serviceModel{random: rand.New(rand.NewSource(seed)), refused: map[string]int{}}
+func newOverloadModel(seed int64, vms int, shed bool) *overloadModel {
+	m := &overloadModel{random: rand.New(rand.NewSource(seed)), refused: map[string]int{}}
 	for range 3 {
-		m.endpoints = append(m.endpoints, serviceQueue{free: make([]time.Time, modelSlots)})
+		m.endpoints = append(m.endpoints, overloadedEndpoint{free: make([]time.Time, modelSlots)})
 	}
 	for range vms {
 		if shed {
@@ -53,7 +53,7 @@
 }
 
 // offer sends a request to a random endpoint and returns what its VM learns.
-func (m *serviceModel) offer(vm int, account string, now time.Time) (outcome, bool) {
+func (m *overloadModel) offer(vm int, account string, now time.Time) (outcome, bool) {
 	if m.admission != nil {
 		r := ServiceRequest{Group: "g", Route: "r", Account: account, TimeLimit: time.Second}
 		if _, ok := m.admission[vm].Admit(r, now); !ok {
@@ -95,7 +95,7 @@
 }
 
 // run offers requests of the accounts, at rates per second, for a time.
-func (m *serviceModel) run(length time.Duration, rates map[string]float64) {
+func (m *overloadModel) run(length time.Duration, rates map[string]float64) {
 	begin := time.Unix(1_700_000_000, 0)
 	var pending []outcome
 	const tick = time.Millisecond
@@ -133,7 +133,7 @@
 func TestServiceBeyondItsCapacityServesInTime(t *testing.T) {
 	for seed := range int64(3) {
 		rates := map[string]float64{"a": 300, "b": 300, "c": 300}
-		without, with := newServiceModel(seed, 77, false), newServiceModel(seed, 77, true)
+		without, with := newOverloadModel(seed, 77, false), newOverloadModel(seed, 77, true)
 		without.run(6*time.Second, rates)
 		with.run(6*time.Second, rates)
 		t.Logf("seed %d: in time %d, late %d without admission; in time %d, late %d with it", seed, without.inTime, without.late, with.inTime, with.late)
@@ -145,7 +145,7 @@
 // A service within its capacity must refuse nothing: not because of single slow responses, and not because an account sends more
 // than usual.
 func TestServiceWithinItsCapacityRefusesNothing(t *testing.T) {
-	m := newServiceModel(1, 77, true)
+	m := newOverloadModel(1, 77, true)
 	m.run(10*time.Second, map[string]float64{"a": 100, "b": 100, "c": 50, "flood": 100})
 	require.Empty(t, m.refused)
 }
