gateway: test for responses that endpoints cut off while the caller reads slowly

An endpoint cuts off a response that stays unread. The gateway reads a response only as fast as its caller takes it.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,6 +162,8 @@
 	suspectTable *suspect.Table
 	partTable    *suspect.PartTable
 	prober       suspect.Prober
+	// smallBuffers says that connections of callers get send buffers of smallBuffer bytes.
+	smallBuffers atomic.Bool
 }
 
 // handler simulates an endpoint.
@@ -209,7 +212,14 @@
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	b.gateway = g
-	b.server = httptest.NewServer(g)
+	b.server = httptest.NewUnstartedServer(g)
+	b.server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if b.smallBuffers.Load() {
+			_ = conn.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+		}
+		return ctx
+	}
+	b.server.Start()
 	t.Cleanup(b.server.Close)
 	return b
 }
