gateway: read responses of slow callers ahead and close callers that read nothing

A write to a caller that did not read blocked without a limit, and an endpoint was read only as fast as the caller took the response, so that endpoints cut off unread responses and their slots stayed taken. Now a timer watches each write. An error of a write of a long response is no longer taken for a failure of the endpoint.

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -113,6 +113,10 @@
 	fallback *bufferedResponse
 	// relay is how much of the response has been passed on.
 	relay relay
+	// watch watches the writes to the caller.
+	watch writeWatch
+	// ahead reads the response ahead; nil unless the caller reads slowly. The watch sets it while a write is in progress.
+	ahead *readAhead
 	// failure is why the request failed or was refused.
 	failure *result.Error
 }
@@ -125,7 +129,11 @@
 }
 
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
-	return &call{g: g, w: w, r: r, stateMachine: chart.NewMachine(callChart), arrived: time.Now()}
+	c := &call{g: g, w: w, r: r, stateMachine: chart.NewMachine(callChart), arrived: time.Now()}
+	c.watch.slow, c.watch.control, c.watch.onStalled = g.slow, http.NewResponseController(w), c.callerStalled
+	c.watch.limit = g.slow.stallLimit(nil)
+	c.watch.acknowledged = func() uint64 { return acknowledged(r.Context()) }
+	return c
 }
 
 // steps maps the states that are not final to their steps.
@@ -144,8 +152,11 @@
 		if c.cancel != nil {
 			c.cancel()
 		}
-		c.g.cfg.Memory.Release(c.heldMemory)
-		c.releaseResponses()
+		if c.ahead != nil {
+			// A panic has ended the call.
+			c.ahead.stop()
+		}
+		c.releaseMemory()
 	}()
 	for {
 		step, ok := steps[c.stateMachine.State()]
@@ -186,7 +197,7 @@
 	if rules == nil {
 		return c.refuse(result.New(result.NoBundle, "this VM has no configuration yet"))
 	}
-	c.configVersion = rules.Bundle.Version
+	c.configVersion, c.watch.limit = rules.Bundle.Version, c.g.slow.stallLimit(rules)
 	var ok bool
 	if c.route, ok = rules.Routes.Match(c.r.Host, c.r.URL.Path); !ok {
 		return c.refuse(result.New(result.UnknownRoute, "no route has this host and path"))
@@ -291,7 +302,7 @@
 		return nil
 	}
 	// Only the response recorders of tests do not support deadlines.
-	control := http.NewResponseController(c.w)
+	control := c.watch.control
 	_ = control.SetReadDeadline(c.deadline)
 	var held int64
 	var err error
@@ -421,6 +432,17 @@
 	case c.failure != nil:
 		writeError(c.w, c.failure)
 	}
+	c.releaseMemory()
+	// An error means that the caller has left or does not read. net/http closes its connection then.
+	_ = c.write(nil, true)
+	c.watch.limitRest()
+}
+
+// releaseMemory releases what the request and its responses have taken from the budgets.
+func (c *call) releaseMemory() {
+	c.g.cfg.Memory.Release(c.heldMemory)
+	c.heldMemory = 0
+	c.releaseResponses()
 }
 
 // breakOff ends a response of which a part has been passed on, so that the caller detects that it is incomplete. Callers of
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,10 +25,14 @@
 type Rules struct {
 	Bundle *bundle.Bundle
 	Routes *route.Table
+	// longestLimit is the longest time limit of the bundle.
+	longestLimit time.Duration
 }
 
 // NewRules returns the rules of a bundle.
-func NewRules(b *bundle.Bundle) *Rules { return &Rules{Bundle: b, Routes: route.NewTable(b)} }
+func NewRules(b *bundle.Bundle) *Rules {
+	return &Rules{Bundle: b, Routes: route.NewTable(b), longestLimit: longestLimit(b)}
+}
 
 // Request describes a request to the dispatcher.
 type Request struct {
@@ -124,6 +128,7 @@
 	cfg       Config
 	meters    meters
 	responses *responseMemory
+	slow      *slowCallers
 	draining  atomic.Bool
 	running   atomic.Int64
 	// admitting ends when requests that have not been sent to an endpoint must be refused, working when all requests must
@@ -135,6 +140,11 @@
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg, meters: newMeters(cfg.Metrics), responses: newResponseMemory(cfg.Memory)}
+	g.slow = &slowCallers{
+		delay: slowCallerDelay, interval: stallCheckInterval, memory: g.responses.all.Share(slowCallerMemoryShare),
+		stallLimit: stallLimit,
+	}
+	metrics.NewRegisteredFunctionalGauge(metricReadAheadMemory, cfg.Metrics, g.slow.memory.Used)
 	g.admitting, g.stopAdmitting = context.WithCancel(context.Background())
 	g.working, g.interruptAll = context.WithCancel(context.Background())
 	return g
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -214,6 +214,7 @@
 	b.gateway = g
 	b.server = httptest.NewUnstartedServer(g)
 	b.server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		ctx = ConnContext(ctx, conn)
 		if b.smallBuffers.Load() {
 			_ = conn.(*net.TCPConn).SetWriteBuffer(smallBuffer)
 		}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -19,6 +19,12 @@
 	// metricConnectionsEnded counts the requests whose connection the endpoint closed or reset before the
 	// response was complete.
 	metricConnectionsEnded = "gateway.connections_ended"
+	// metricReadAhead counts the responses of which a part was read ahead, because their callers read slowly.
+	metricReadAhead = "gateway.read_ahead"
+	// metricReadAheadMemory is the gauge of the memory for parts read ahead, in bytes.
+	metricReadAheadMemory = "gateway.read_ahead_memory"
+	// metricCallersStalled counts the connections closed because their callers did not read.
+	metricCallersStalled = "gateway.callers_stalled"
 )
 
 // sampleSize is the number of samples of a histogram, sampleAlpha its bias to recent values. Both are the
@@ -30,7 +36,7 @@
 
 // meters are the gateway's counters and latency histograms, in nanoseconds.
 type meters struct {
-	requests, answered, refused, failed, repeats, resumed, connectionsEnded metrics.Counter
+	requests, answered, refused, failed, repeats, resumed, connectionsEnded, readAhead, callersStalled metrics.Counter
 	// first is the time from a request's arrival to the first part of its response, wait the time that it
 	// waited for placements.
 	first, wait metrics.Histogram
@@ -46,6 +52,8 @@
 		refused: counter(metricRefused), failed: counter(metricFailed),
 		repeats: counter(metricRepeats), resumed: counter(metricResumed),
 		connectionsEnded: counter(metricConnectionsEnded),
+		readAhead:        counter(metricReadAhead),
+		callersStalled:   counter(metricCallersStalled),
 		first:            histogram(metricFirst), wait: histogram(metricWait),
 	}
 }
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -115,7 +115,8 @@
 // writeBuffered writes a response that has been read completely.
 func (c *call) writeBuffered(response *bufferedResponse) {
 	c.writeHead(response.status, response.header, int64(len(response.body)))
-	_, _ = c.w.Write(response.body)
+	// An error means that the caller has left or does not read. net/http closes its connection then.
+	_ = c.write(response.body, false)
 }
 
 // passLong passes on a response that is too long to be buffered. prefix is the part that has been read.
@@ -123,24 +124,44 @@
 	c.recordPartsServed()
 	c.relay.whole = true
 	c.writeHead(c.response.Status, c.response.Header, c.response.Length)
-	if _, err := c.w.Write(prefix); err != nil {
-		return c.callerLeft()
+	c.watch.onBlocked = c.readAhead
+	if err := c.write(prefix, false); err != nil {
+		return c.callerLeft(err)
 	}
-	if _, err := io.Copy(c.w, c.response); err != nil {
-		return c.responseCut(err)
+	buffer := prefix[:cap(prefix)]
+	if len(buffer) < readBufferSize {
+		pooled := readBuffers.Get().(*[readBufferSize]byte)
+		defer readBuffers.Put(pooled)
+		buffer = pooled[:]
+	}
+	return c.passRest(buffer)
+}
+
+// passRest passes on the rest of a response that is not a stream. It uses buffer for that.
+func (c *call) passRest(buffer []byte) chart.Event {
+	for {
+		n, err := c.read(buffer)
+		if writeErr := c.write(buffer[:n], false); writeErr != nil {
+			return c.callerLeft(writeErr)
+		}
+		if err == io.EOF {
+			c.recordServed()
+			c.closeResponse(Outcome{FirstByte: c.firstByte})
+			return eventDone
+		}
+		if err != nil {
+			return c.responseCut(err)
+		}
 	}
-	c.recordServed()
-	c.closeResponse(Outcome{FirstByte: c.firstByte})
-	return eventDone
 }
 
 // passStream passes on a stream as its parts arrive.
 func (c *call) passStream() chart.Event {
 	buffer := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(buffer)
-	flusher, _ := c.w.(http.Flusher)
+	c.watch.onBlocked = c.readAhead
 	for {
-		n, err := c.response.Read(buffer[:])
+		n, err := c.read(buffer[:])
 		if n > 0 {
 			c.recordFirstByte()
 			c.reportProgress()
@@ -151,8 +172,10 @@
 			if len(complete) > 0 {
 				c.recordPartsServed()
 			}
-			if len(complete) > 0 && !c.writeEvents(complete, flusher) {
-				return c.callerLeft()
+			if len(complete) > 0 {
+				if err := c.writeEvents(complete); err != nil {
+					return c.callerLeft(err)
+				}
 			}
 		}
 		if err == io.EOF {
@@ -183,21 +206,18 @@
 	return complete, nil
 }
 
-// writeEvents passes on complete events of a stream. It reports false if the caller has left.
-func (c *call) writeEvents(complete []byte, flusher http.Flusher) bool {
+// writeEvents passes on complete events of a stream.
+func (c *call) writeEvents(complete []byte) error {
 	if !c.relay.headSent {
 		c.writeHead(c.response.Status, c.response.Header, -1)
 	}
-	if _, err := c.w.Write(complete); err != nil {
-		return false
-	}
-	if flusher != nil {
-		flusher.Flush()
+	if err := c.write(complete, true); err != nil {
+		return err
 	}
 	if c.route.Resumable {
 		c.relay.lastEvent = c.relay.events.lastID
 	}
-	return true
+	return nil
 }
 
 // errStreamCut says that a stream was broken off: it ended inside an event, or with its connection before the first event.
@@ -205,6 +225,7 @@
 
 // endStream handles the end of a stream.
 func (c *call) endStream() chart.Event {
+	c.watch.onBlocked = nil
 	rest := c.relay.events.rest()
 	if len(bytes.TrimSpace(rest)) > 0 || !c.partsServed && !c.response.Framed() {
 		return c.responseCut(errStreamCut)
@@ -213,7 +234,8 @@
 		c.writeHead(c.response.Status, c.response.Header, -1)
 	}
 	if len(rest) > 0 {
-		_, _ = c.w.Write(rest)
+		// The rest is white space. net/http closes the connection after an error.
+		_ = c.write(rest, false)
 	}
 	c.recordServed()
 	c.closeResponse(Outcome{FirstByte: c.firstByte})
@@ -245,9 +267,12 @@
 	return event
 }
 
-// callerLeft handles a caller that no longer reads the response.
-func (c *call) callerLeft() chart.Event {
+// callerLeft handles a caller that no longer reads the response, which err of a write to it says.
+func (c *call) callerLeft(err error) chart.Event {
 	c.closeResponse(Outcome{Canceled: true, FirstByte: c.firstByte})
+	if errors.Is(err, errCallerStalled) {
+		return c.fail(result.New(result.CallerGone, "the caller did not read the response"))
+	}
 	return c.fail(result.New(result.CallerGone, "the caller closed the connection"))
 }
 
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -122,10 +122,16 @@
 	return info.RetryAfter
 }
 
-// closeResponse closes the endpoint's response and ends the placement.
+// closeResponse closes the endpoint's response and ends the placement, unless that was done when the whole response had been
+// read ahead.
 func (c *call) closeResponse(o Outcome) {
-	c.response.Close()
-	c.response = nil
+	response, ahead := c.response, c.ahead
+	c.response, c.ahead, c.watch.onBlocked = nil, nil, nil
+	if ahead != nil && ahead.stop() {
+		c.suspected = false
+		return
+	}
+	response.Close()
 	c.endPlacement(o)
 }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -179,6 +180,8 @@
 	bodyRead int64
 	// complete says that the body has been read to its end.
 	complete bool
+	// interrupted says that Interrupt has been called.
+	interrupted atomic.Bool
 }
 
 // readHead reads the head of the response and skips stray and interim responses.
@@ -248,10 +251,17 @@
 	return n, err
 }
 
+// Interrupt makes a Read in progress fail, and closes the connection. Unlike the other methods it may be called while another
+// one is running.
+func (a *Response) Interrupt() {
+	a.interrupted.Store(true)
+	_ = a.conn.Close()
+}
+
 // Close releases the connection of the response. The connection is kept for further requests if the body was
 // read to its end and the endpoint keeps the connection open too, and is closed otherwise.
 func (a *Response) Close() {
-	if !a.stopWatch() || !a.reusable() {
+	if !a.stopWatch() || a.interrupted.Load() || !a.reusable() {
 		_ = a.conn.Close()
 		return
 	}
