gatewayd, connlimit: make callers' connections known to the gateway

The gateway checks on a caller's connection whether its kernel acknowledges bytes. ConnContext passes the connection on, and wrapped connections tell what they wrap.

--- a/pkg/connlimit/limit.go
+++ b/pkg/connlimit/limit.go
@@ -72,6 +72,9 @@
 	return conn.SetLinger(sec)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection, which then no longer counts towards the limit. It may be called more than once.
 func (c *limitedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/pkg/gateway/slowcallers_test.go
+++ b/pkg/gateway/slowcallers_test.go
@@ -196,6 +196,11 @@
 	body := eventsOf(400 << 10)
 	b := newTestbed(t, respondUnlessUnread(body, false, time.Minute))
 	b.memory.SetLimit(4 << 20)
+	// The time limit of the requests is not what is tested: the callers read one after the other.
+	stream := b.rules.Bundle.Routes["stream"]
+	stream.Timeout = time.Minute
+	b.rules.Bundle.Routes["stream"] = stream
+	b.rules = NewRules(b.rules.Bundle)
 	b.smallBuffers.Store(true)
 	slow := make([]*slowCaller, callers)
 	for i := range slow {
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -66,6 +66,7 @@
 	// callerEnforcer enforces the limits on headers and idle connections, because those of the configuration in
 	// force may change while the server runs.
 	s.callers = &http.Server{Handler: g, MaxHeaderBytes: defaultHeaderBytes}
+	s.callers.ConnContext = gateway.ConnContext
 	s.callerEnforcer = connlimit.NewTimeoutEnforcer(s.callers)
 	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaderTimeout}
 	s.metrics = &http.Server{
--- a/pkg/gatewayd/wiring_test.go
+++ b/pkg/gatewayd/wiring_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/membership"
@@ -33,3 +34,8 @@
 	r = newRetryLimiter(RetryBounds{Share: 0.2, Reserve: reserve, Window: 10 * time.Second}, &small)
 	require.EqualValues(t, maxRetryReserve, retries(), "one VM that has never known another one")
 }
+
+// Guards against a gateway that cannot find out whether callers read their responses.
+func TestGatewayKnowsTheConnectionsOfCallers(t *testing.T) {
+	require.NotNil(t, newServers(nil, metrics.NewRegistry()).callers.ConnContext)
+}
