gateway: keep the tests of slow callers apart from the dial timeout

On a busy machine, with three runs of the package at once, TestMemoryForSlowCallersIsBounded failed in 3 of 12 runs and TestCallersThatReadNothingAreClosed in one. The first hit the 5 s limit of its route, because the changed limit was not in the index of the bundle, and once a connection to its endpoint was not made within 250 ms. Callers now start one after the other, and the limit is in force.

--- a/pkg/gateway/slowcallers_test.go
+++ b/pkg/gateway/slowcallers_test.go
@@ -171,6 +171,8 @@
 		slow := make([]*slowCaller, callers)
 		for i := range slow {
 			slow[i] = b.callSlowly(path, nil)
+			// One after the other, so that no connection to the endpoint fails for lack of time on a busy machine.
+			<-b.received
 		}
 		require.Eventually(t, func() bool { return b.gateway.meters.callersStalled.Count() == callers && b.gateway.Running() == 0 }, 5*time.Second, time.Millisecond, path)
 		require.Zero(t, b.memory.Used(), path)
@@ -200,11 +202,13 @@
 	stream := b.rules.Bundle.Routes["stream"]
 	stream.Timeout = time.Minute
 	b.rules.Bundle.Routes["stream"] = stream
-	b.rules = NewRules(b.rules.Bundle)
+	b.rules = NewRules(b.rules.Bundle.Indexed())
 	b.smallBuffers.Store(true)
 	slow := make([]*slowCaller, callers)
 	for i := range slow {
 		slow[i] = b.callSlowly("/stream/", nil)
+		// One after the other, so that no connection to the endpoint fails for lack of time on a busy machine.
+		<-b.received
 	}
 	bound := int64(responseMemoryShare * slowCallerMemoryShare * (4 << 20))
 	require.Eventually(t, func() bool { return b.gateway.slow.memory.Used() > bound/2 }, 3*time.Second, time.Millisecond)
