--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/bundle"
+	"github.com/mallowlink/mallowlink/pkg/connlimit"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/memory"
 	"github.com/mallowlink/mallowlink/pkg/result"
@@ -170,6 +172,8 @@
 	prober       suspect.Prober
 	// withheld are the endpoints to which nothing may be sent.
 	withheld []string
+	// smallBuffers says that connections of callers get send buffers of smallBuffer bytes.
+	smallBuffers atomic.Bool
 }
 
 // handler simulates an endpoint.
@@ -218,7 +222,17 @@
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	b.gateway = g
-	b.server = httptest.NewServer(g)
+	b.server = httptest.NewUnstartedServer(g)
+	b.server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		ctx = ConnContext(ctx, conn)
+		if b.smallBuffers.Load() {
+			_ = unwrap(conn).(*net.TCPConn).SetWriteBuffer(smallBuffer)
+		}
+		return ctx
+	}
+	// As in the process, so that the tests cover wrapped connections.
+	b.server.Listener = connlimit.LimitListener(b.server.Listener, 1000, metrics.NewRegistry())
+	b.server.Start()
 	t.Cleanup(b.server.Close)
 	return b
 }
