Bound what callers and peers can make a VM hold

Cause: callers' heads were bounded at one megabyte for each connection and not together, connections by descriptors only; the readiness, metrics and peer servers had hardly any bounds. 37 of 63 cases of test/hostile made the process exceed its memory or descriptors. Change: memory for heads beyond 4 KB each is taken from a budget of an eighth of the VM's memory before they are read; heads over the limit get 431, without memory 503. Connections depend on memory too. An answer that is not read for longer than any time limit ends its connection, as does a body that stops after its handler has returned. The peer port bounds messages, definitions of types, running calls and unread answers. Readiness and metrics have 32 connections, and close the oldest one beyond that.

--- a/pkg/connlimit/limit.go
+++ b/pkg/connlimit/limit.go
@@ -7,7 +7,6 @@
 	"net"
 	"sync/atomic"
 
-	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -19,13 +18,14 @@
 )
 
 // LimitListener returns a listener that accepts connections from l and closes those over max open connections at once,
-// so that the load balancer tries another VM.
-func LimitListener(l net.Listener, max int, registry metrics.Registry) net.Listener {
+// so that the load balancer tries another VM. refusals, which may be nil, records from where these came.
+func LimitListener(l net.Listener, max int, registry metrics.Registry, refusals *Refusals) net.Listener {
 	return &limitListener{
 		Listener: l,
 		max:      int64(max),
 		refused:  metrics.GetOrRegisterCounter(MetricConnectionsRefused, registry),
 		gauge:    metrics.GetOrRegisterGauge(MetricConnections, registry),
+		refusals: refusals,
 	}
 }
 
@@ -36,6 +36,8 @@
 	open    atomic.Int64
 	refused metrics.Counter
 	gauge   metrics.Gauge
+
+	refusals *Refusals
 }
 
 // Accept waits for the next connection within the limit, and closes those over the limit.
@@ -51,6 +53,7 @@
 		}
 		l.open.Add(-1)
 		l.refused.Inc(1)
+		l.refusals.record(MetricConnectionsRefused, conn.RemoteAddr())
 		// Nothing has been read from the connection, so no request is lost.
 		_ = conn.Close()
 	}
@@ -64,13 +67,10 @@
 }
 
 // SetLinger sets the behavior of Close as net.TCPConn.SetLinger does.
-func (c *limitedConn) SetLinger(sec int) error {
-	conn, ok := c.Conn.(interface{ SetLinger(sec int) error })
-	if !ok {
-		return errors.Errorf("%T has no linger option", c.Conn)
-	}
-	return conn.SetLinger(sec)
-}
+func (c *limitedConn) SetLinger(sec int) error { return setLinger(c.Conn, sec) }
+
+// CloseWrite ends the sending side of the connection.
+func (c *limitedConn) CloseWrite() error { return closeWrite(c.Conn) }
 
 // Close closes the connection, which then no longer counts towards the limit. It may be called more than once.
 func (c *limitedConn) Close() error {
--- a/pkg/connlimit/limit_test.go
+++ b/pkg/connlimit/limit_test.go
@@ -15,7 +15,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	registry := metrics.NewRegistry()
-	l := LimitListener(inner, 1, registry)
+	l := LimitListener(inner, 1, registry, nil)
 	defer l.Close()
 	accepted := make(chan net.Conn, 3)
 	go func() {
@@ -50,7 +50,7 @@
 	require.NoError(t, err)
 	registry := metrics.NewRegistry()
 	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(LimitListener(l, 2, registry)) }()
+	go func() { _ = server.Serve(LimitListener(l, 2, registry, nil)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	first, second := dial(t, l.Addr().String()), dial(t, l.Addr().String())
 	sendRequest(t, first)
--- a/pkg/connlimit/timeouts.go
+++ b/pkg/connlimit/timeouts.go
@@ -12,14 +12,24 @@
 	// Header limits the time in which the whole header of a request must arrive, Idle the time between two
 	// requests on a connection.
 	Header, Idle time.Duration
+	// Write limits the time for which the writing of an answer may make no progress; 0 sets no limit.
+	Write time.Duration
 }
 
-// TimeoutEnforcer enforces header and idle timeouts on the connections of one HTTP server, because the server's
+// headSlack is added to Timeouts.Header for a head of which a part has arrived, so that one that takes just that long is not cut off
+// when this VM reads its end late.
+const headSlack = time.Second
+
+// TimeoutEnforcer enforces header, idle and write timeouts on the connections of one HTTP server, because the server's
 // own timeouts cannot change while it runs.
 type TimeoutEnforcer struct {
+	refusals *Refusals
+
 	mu sync.Mutex
 	// conns holds the connections that no request is being served on. It is guarded by mu.
 	conns map[net.Conn]waitingConn
+	// busy holds the connections that a request is being served on. It is guarded by mu.
+	busy map[net.Conn]struct{}
 }
 
 // waitingConn is the state of a connection on which no request is being served: the whole header of its next
@@ -32,43 +42,77 @@
 }
 
 // NewTimeoutEnforcer tracks the connections of the server from its start on. It sets the server's ConnState
-// hook and must be called before the server starts.
-func NewTimeoutEnforcer(s *http.Server) *TimeoutEnforcer {
-	e := &TimeoutEnforcer{conns: map[net.Conn]waitingConn{}}
+// hook and must be called before the server starts. refusals, which may be nil, records the connections that it closes, other
+// than idle ones.
+func NewTimeoutEnforcer(s *http.Server, refusals *Refusals) *TimeoutEnforcer {
+	e := &TimeoutEnforcer{refusals: refusals, conns: map[net.Conn]waitingConn{}, busy: map[net.Conn]struct{}{}}
 	s.ConnState = e.recordState
 	return e
 }
 
-// recordState adds the connection to the waiting ones or removes it from them. It is the server's ConnState hook.
+// recordState adds the connection to the waiting or busy ones or removes it. It is the server's ConnState hook.
 func (e *TimeoutEnforcer) recordState(c net.Conn, state http.ConnState) {
+	if head, ok := c.(*headConn); ok {
+		head.setState(state)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	delete(e.conns, c)
+	delete(e.busy, c)
 	switch state {
 	case http.StateNew, http.StateIdle:
 		e.conns[c] = waitingConn{since: time.Now(), isNew: state == http.StateNew}
-	default:
-		delete(e.conns, c)
+	case http.StateActive:
+		e.busy[c] = struct{}{}
 	}
 }
 
 // CloseExpired closes the connections that have exceeded their timeout. A new connection is closed after
 // p.Header; one that has carried a request after p.Idle and p.Header together, because the header of its
-// next request may have begun to arrive at the end of the idle time.
+// next request may have begun to arrive at the end of the idle time. Where the first byte of a header is known to have arrived,
+// p.Header counts from then on. A connection whose answer is not read is closed after p.Write.
 func (e *TimeoutEnforcer) CloseExpired(p Timeouts, now time.Time) {
+	expired := map[net.Conn]string{}
 	e.mu.Lock()
-	var expired []net.Conn
 	for c, wait := range e.conns {
-		limit := p.Header
-		if !wait.isNew {
-			limit += p.Idle
+		if reason, late := wait.expired(c, p, now); late {
+			expired[c] = reason
 		}
-		if now.Sub(wait.since) > limit {
-			expired = append(expired, c)
+	}
+	for c := range e.busy {
+		if writeStalled(c, p, now) {
+			expired[c] = ReasonWriteStalled
 		}
 	}
 	e.mu.Unlock()
-	for _, c := range expired {
+	for c, reason := range expired {
+		if reason != "" {
+			e.refusals.Add(reason, c.RemoteAddr())
+		}
 		// The server then calls recordState, which removes the connection.
 		_ = c.Close()
 	}
 }
+
+// expired reports whether the connection has exceeded its timeout, and as which reason that counts; idle ones count as none.
+func (w waitingConn) expired(c net.Conn, p Timeouts, now time.Time) (string, bool) {
+	if head, ok := c.(*headConn); ok {
+		if begun, ok := head.headSince(); ok {
+			return ReasonHeadTimeout, now.Sub(begun) > p.Header+headSlack
+		}
+	}
+	if w.isNew {
+		return ReasonHeadTimeout, now.Sub(w.since) > p.Header
+	}
+	return "", now.Sub(w.since) > p.Header+p.Idle
+}
+
+// writeStalled reports whether an answer on the connection has not been read for p.Write.
+func writeStalled(c net.Conn, p Timeouts, now time.Time) bool {
+	head, ok := c.(*headConn)
+	if !ok || p.Write <= 0 {
+		return false
+	}
+	begun, writing := head.writeSince()
+	return writing && now.Sub(begun) > p.Write
+}
--- a/pkg/connlimit/timeouts_test.go
+++ b/pkg/connlimit/timeouts_test.go
@@ -16,7 +16,7 @@
 func startServer(t *testing.T) (*TimeoutEnforcer, string) {
 	t.Helper()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
-	watch := NewTimeoutEnforcer(server.Config)
+	watch := NewTimeoutEnforcer(server.Config, nil)
 	// Start wraps the ConnState hook that NewTimeoutEnforcer has set, so NewTimeoutEnforcer comes before it.
 	server.Start()
 	t.Cleanup(server.Close)
@@ -99,7 +99,7 @@
 		<-release
 		_, _ = io.WriteString(w, "ok")
 	}))
-	watch := NewTimeoutEnforcer(server.Config)
+	watch := NewTimeoutEnforcer(server.Config, nil)
 	server.Start()
 	t.Cleanup(server.Close)
 	conn := dial(t, server.Listener.Addr().String())
--- a/pkg/daemon/process.go
+++ b/pkg/daemon/process.go
@@ -138,7 +138,7 @@
 }
 
 func (p *process) serveCallers() error {
-	limited := connlimit.LimitListener(p.components.Listeners.Callers, p.components.Settings.Limits.Connections, p.components.Metrics)
+	limited := connlimit.LimitListener(p.components.Listeners.Callers, p.components.Settings.Limits.Connections, p.components.Metrics, nil)
 	if p.callers.TLSConfig != nil {
 		return p.callers.ServeTLS(limited, "", "")
 	}
--- a/pkg/gateway/broken_heads_test.go
+++ b/pkg/gateway/broken_heads_test.go
@@ -55,7 +55,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		server := &http.Server{Handler: b.gateway}
-		go func() { _ = server.Serve(connlimit.LimitListener(listener, 10, metrics.NewRegistry())) }()
+		go func() { _ = server.Serve(connlimit.LimitListener(listener, 10, metrics.NewRegistry(), nil)) }()
 		c, err := net.Dial("tcp", listener.Addr().String())
 		require.NoError(t, err)
 		_, err = io.WriteString(c, "POST /stream/ HTTP/1.0\r\nHost: h\r\nId: r1\r\nKey: key\r\n\r\n")
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -56,22 +56,22 @@
 type servers struct {
 	callers, readiness, metrics *http.Server
 	callerEnforcer              *connlimit.TimeoutEnforcer
+	callerHeads                 *connlimit.HeadLimiter
+	refusals                    *connlimit.Refusals
 	process                     atomic.Pointer[process]
 }
 
-func newServers(g *gateway.Gateway, registry metrics.Registry) *servers {
-	s := &servers{}
+func newServers(settings Settings, view *fleetView, g *gateway.Gateway, registry metrics.Registry) *servers {
+	s := &servers{refusals: connlimit.NewRefusals(registry)}
 	router := mux.NewRouter()
 	router.HandleFunc("/readyz", s.serveReady).Methods(http.MethodGet)
-	// callerEnforcer enforces the limits on headers and idle connections, because those of the configuration in
+	// callerEnforcer and callerHeads enforce the limits on heads and idle connections, because those of the configuration in
 	// force may change while the server runs.
-	s.callers = &http.Server{Handler: g, MaxHeaderBytes: defaultHeaderBytes}
-	s.callerEnforcer = connlimit.NewTimeoutEnforcer(s.callers)
-	s.readiness = &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaderTimeout}
-	s.metrics = &http.Server{
-		Handler:           admin.NewHandler(s.dumpState, registry, admin.Command{Path: suspect.ReleasePath, Run: s.releasePart}),
-		ReadHeaderTimeout: defaultHeaderTimeout,
-	}
+	s.callers = &http.Server{Handler: connlimit.LimitUnreadBodies(g), MaxHeaderBytes: defaultHeaderBytes}
+	s.callerEnforcer = connlimit.NewTimeoutEnforcer(s.callers, s.refusals)
+	s.callerHeads = newHeadLimiter(settings, view, registry, s.refusals)
+	s.readiness = newStatusServer(router, readinessWriteTimeout)
+	s.metrics = newStatusServer(admin.NewHandler(s.dumpState, registry, admin.Command{Path: suspect.ReleasePath, Run: s.releasePart}), metricsWriteTimeout)
 	return s
 }
 
@@ -154,10 +154,11 @@
 	p.startLoop(p.components.Suspects.run)
 	p.startLoop(p.components.LiveSettings.run)
 	p.startLoop(p.sweep)
-	p.startHTTPServer("readiness", p.components.Servers.readiness, p.components.Listeners.readiness)
-	p.startHTTPServer("metrics", p.components.Servers.metrics, p.components.Listeners.metrics)
-	maxConns := max(p.components.Settings.Limits.Descriptors-reservedDescriptors, reservedDescriptors)
-	p.startHTTPServer("callers", p.components.Servers.callers, connlimit.LimitListener(p.components.Listeners.callers, maxConns, p.components.Metrics))
+	p.startHTTPServer("readiness", p.components.Servers.readiness, connlimit.EvictingListener(p.components.Listeners.readiness, statusConnections))
+	p.startHTTPServer("metrics", p.components.Servers.metrics, connlimit.EvictingListener(p.components.Listeners.metrics, statusConnections))
+	servers := p.components.Servers
+	limited := connlimit.LimitListener(p.components.Listeners.callers, maxCallerConnections(p.components.Settings.Limits), p.components.Metrics, servers.refusals)
+	p.startHTTPServer("callers", servers.callers, servers.callerHeads.Listener(limited))
 	p.components.Log.WithFields(logrus.Fields{
 		"event": "started", "incarnation": p.components.ID.incarnation,
 		"callers": p.components.Settings.Listen.Callers, "peer": p.components.Settings.Listen.Peer,
@@ -190,26 +191,11 @@
 func (p *process) sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func(now time.Time) {
 		p.components.Outbound.pools.Sweep(now)
-		p.components.Servers.callerEnforcer.CloseExpired(p.callerTimeouts(), now)
+		p.components.Servers.callerEnforcer.CloseExpired(callerTimeouts(p.components.View.rules.Load()), now)
+		p.components.Servers.refusals.Log(p.components.Log)
 	})
 }
 
-// callerTimeouts returns the timeouts for callers that the configuration in force sets, or the defaults.
-func (p *process) callerTimeouts() connlimit.Timeouts {
-	timeouts := connlimit.Timeouts{Header: defaultHeaderTimeout, Idle: defaultIdleTimeout}
-	rules := p.components.View.rules.Load()
-	if rules == nil {
-		return timeouts
-	}
-	if limit := rules.Bundle.Callers.HeaderTimeout; limit > 0 {
-		timeouts.Header = limit
-	}
-	if limit := rules.Bundle.Callers.IdleTimeout; limit > 0 {
-		timeouts.Idle = limit
-	}
-	return timeouts
-}
-
 // stop drains the process: it reports that it is not ready, hands its leases over, completes the requests under
 // way, and closes all components. Requests that still run shortly before SIGKILL are interrupted: those whose callers have
 // got no part of a response are answered with an error, the others are cut. Their numbers are logged.
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -163,12 +163,11 @@
 	metricPeerServed = "peer.served"
 )
 
-func newPeers(registry metrics.Registry, log logrus.FieldLogger) peers {
+func newPeers(s Settings, registry metrics.Registry, log logrus.FieldLogger) peers {
 	plain := func() *tls.Config { return nil }
-	return peers{
-		pool:   peer.NewPool(plain, peer.NewTraffic(registry, metricPeerCalls)),
-		server: peer.NewServer(plain, peer.NewTraffic(registry, metricPeerServed), log),
-	}
+	server := peer.NewServer(plain, peer.NewTraffic(registry, metricPeerServed), log)
+	server.SetLimits(peerLimits(s.Limits))
+	return peers{pool: peer.NewPool(plain, peer.NewTraffic(registry, metricPeerCalls)), server: server}
 }
 
 // coordination holds the components that coordinate this VM with the other ones: membership, leases and the set
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -54,13 +54,17 @@
 type Traffic struct {
 	In  metrics.Counter
 	Out metrics.Counter
+	// Exceeded counts connections that were closed because they exceeded a bound.
+	Exceeded metrics.Counter
 }
 
-// NewTraffic returns a Traffic with the counters name.bytes_in and name.bytes_out, registered in registry.
+// NewTraffic returns a Traffic with the counters name.bytes_in, name.bytes_out and name.over_limit, registered in registry.
 func NewTraffic(registry metrics.Registry, name string) Traffic {
 	return Traffic{
 		In:  metrics.GetOrRegisterCounter(name+".bytes_in", registry),
 		Out: metrics.GetOrRegisterCounter(name+".bytes_out", registry),
+
+		Exceeded: metrics.GetOrRegisterCounter(name+".over_limit", registry),
 	}
 }
 
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -6,15 +6,23 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/memory"
 )
 
 const (
-	// MaxConnections is the maximum number of open connections; further ones are closed at once.
+	// MaxConnections is the maximum number of open connections, unless Limits sets another; further ones are closed at once.
 	MaxConnections = 2048
+	// silentTime is the time after which a connection that has not carried a call may be closed to make room for another one. A VM
+	// opens a connection only to make a call.
+	silentTime = 2 * time.Second
+	// exceededLogInterval is the least time between two log lines on connections that exceed a bound.
+	exceededLogInterval = time.Second
 	// handshakeTimeout bounds the TLS handshake of a new connection.
 	handshakeTimeout = 5 * time.Second
 	// minAcceptDelay is the delay after a connection could not be accepted. It doubles with each further failure in a row,
@@ -29,11 +37,42 @@
 	tls     TLSSource
 	traffic Traffic
 	log     logrus.FieldLogger
+	limits  Limits
+	slots   callSlots
 
 	mu     sync.Mutex
-	conns  map[net.Conn]struct{} // guarded by mu
-	closed bool                  // guarded by mu
-	wg     sync.WaitGroup        // one per connection
+	conns  map[net.Conn]*openConn // guarded by mu
+	closed bool                   // guarded by mu
+	// exceeded is the number of connections that have exceeded a bound since exceededAt, when that was last logged. Both are
+	// guarded by mu.
+	exceeded   int
+	exceededAt time.Time
+	wg         sync.WaitGroup // one per connection
+}
+
+// Limits bounds what the connections of peers can hold. The zero value of a field sets no bound, or the default.
+type Limits struct {
+	// Connections is the maximum number of open connections; 0 for MaxConnections.
+	Connections int
+	// MessageBytes is the maximum size of one message. If it is 0, neither messages nor calls are bounded.
+	MessageBytes int64
+	// Memory bounds the memory for messages that are larger than a few kilobytes.
+	Memory *memory.Budget
+	// Calls is the maximum number of running calls of all connections.
+	Calls int
+}
+
+// openConn is what the server keeps of an open connection.
+type openConn struct {
+	opened time.Time
+	// called reports whether the connection has carried a call.
+	called atomic.Bool
+}
+
+// SetLimits sets the bounds. It must be called before Serve.
+func (s *Server) SetLimits(l Limits) {
+	s.limits = l
+	s.slots.max = int64(l.Calls)
 }
 
 // NewServer returns a Server without services; Register adds them.
@@ -43,7 +82,7 @@
 		tls:     source,
 		traffic: traffic,
 		log:     log,
-		conns:   map[net.Conn]struct{}{},
+		conns:   map[net.Conn]*openConn{},
 	}
 }
 
@@ -71,27 +110,50 @@
 			continue
 		}
 		delay = minAcceptDelay
-		if !s.admit(conn) {
+		c := s.admit(conn)
+		if c == nil {
+			s.logExceeded(conn, errTooManyConnections)
 			_ = conn.Close()
 			continue
 		}
-		go s.serve(conn)
+		go s.serve(conn, c)
 	}
 }
 
-// admit registers the connection. It returns false if the server is closed or has MaxConnections open.
-func (s *Server) admit(conn net.Conn) bool {
+// admit registers the connection. It returns nil if the server is closed or has as many open as it may, and none of them can be
+// closed instead.
+func (s *Server) admit(conn net.Conn) *openConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= MaxConnections {
-		return false
+	if s.closed || len(s.conns) >= s.maxConnections() && !s.closeSilentLocked(time.Now()) {
+		return nil
 	}
-	s.conns[conn] = struct{}{}
+	c := &openConn{opened: time.Now()}
+	s.conns[conn] = c
 	s.wg.Add(1)
-	return true
+	return c
 }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) maxConnections() int {
+	if s.limits.Connections > 0 {
+		return s.limits.Connections
+	}
+	return MaxConnections
+}
+
+// closeSilentLocked closes a connection that has carried no call for silentTime, and reports whether there was one. s.mu is held.
+func (s *Server) closeSilentLocked(now time.Time) bool {
+	for conn, c := range s.conns {
+		if !c.called.Load() && now.Sub(c.opened) > silentTime {
+			_ = conn.Close()
+			delete(s.conns, conn)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) serve(conn net.Conn, c *openConn) {
 	defer s.wg.Done()
 	defer s.closeConn(conn)
 	secured, err := s.handshake(&countingConn{Conn: conn, traffic: s.traffic})
@@ -103,7 +165,33 @@
 		}).Warn("TLS handshake with peer failed; connection closed")
 		return
 	}
-	s.rpc.ServeConn(secured)
+	if s.limits.MessageBytes <= 0 {
+		s.rpc.ServeConn(secured)
+		return
+	}
+	codec := newServerCodec(secured, s.limits, &s.slots, c)
+	s.rpc.ServeCodec(codec)
+	codec.messages.release()
+	if codec.messages.exceeded != nil {
+		s.logExceeded(conn, codec.messages.exceeded)
+	}
+}
+
+// logExceeded logs that a peer has exceeded a bound, at most once a second.
+func (s *Server) logExceeded(conn net.Conn, reason error) {
+	s.mu.Lock()
+	s.exceeded++
+	count, due := s.exceeded, !s.closed && time.Since(s.exceededAt) >= exceededLogInterval
+	if due {
+		s.exceeded, s.exceededAt = 0, time.Now()
+	}
+	s.mu.Unlock()
+	s.traffic.Exceeded.Inc(1)
+	if due {
+		s.log.WithFields(logrus.Fields{
+			"event": "peer_over_limit", "remote": conn.RemoteAddr().String(), "error": reason.Error(), "connections": count,
+		}).Warn("connections of peers exceeded a bound and were closed")
+	}
 }
 
 // handshake returns the connection secured by TLS, or conn itself if TLS is not configured.
