--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -192,7 +192,7 @@
 		return c.refuse(result.New(result.UnknownRoute, "no route has this host and path"))
 	}
 	if limit := rules.Bundle.Callers.HeaderBytes; limit > 0 && httpheader.Size(c.r) > limit {
-		return c.refuse(result.New(result.BadHeader, "the header is larger than the limit"))
+		return c.refuse(result.New(result.HeaderTooLarge, "the header is larger than the limit"))
 	}
 	var err error
 	if c.terms, err = c.g.cfg.Dialect.Inspect(c.r.Header); err != nil {
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -15,9 +15,9 @@
 const (
 	// maxHeaderMessage is the most bytes of a message with the header of a call: the name of a method and a number.
 	maxHeaderMessage = 1 << 10
-	// maxTypeBytes is the most bytes that a connection may use for definitions of types. Those of all services together take about
-	// 10 KB, and a decoder keeps them as long as the connection.
-	maxTypeBytes = 64 << 10
+	// maxTypeBytes is the most bytes that a connection may use for definitions of types. Those of the arguments of all services take
+	// 1.7 KB with one value of each, and a decoder keeps them as long as the connection.
+	maxTypeBytes = 16 << 10
 	// freeMessageBytes is the part of a message that is not counted towards the memory for messages, so that calls between VMs
 	// other than full updates go on while it is exhausted.
 	freeMessageBytes = 16 << 10
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -27,6 +27,7 @@
 	KeyReused       Code = 1010
 	KeyRequired     Code = 1011
 	CallerGone      Code = 1012
+	HeaderTooLarge  Code = 1013
 	OverRate        Code = 2001
 	OverBurst       Code = 2002
 	QueueFull       Code = 2003
@@ -64,6 +65,7 @@
 	{KeyReused, "idempotency-key-reused", http.StatusUnprocessableEntity, NotRun, "Use a new Idempotency-Key for another request."},
 	{KeyRequired, "idempotency-key-required", http.StatusBadRequest, NotRun, "Send an Idempotency-Key header."},
 	{CallerGone, "caller-gone", 499, MayHaveRun, "The caller closed the connection before the answer."},
+	{HeaderTooLarge, "header-too-large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "Send a smaller header."},
 	{OverRate, "over-rate", http.StatusTooManyRequests, NotRun, "Send again after the time in Retry-After."},
 	{OverBurst, "over-burst", http.StatusRequestEntityTooLarge, NotRun, "Ask for fewer tokens: the request is larger than the account's burst."},
 	{QueueFull, "queue-full", http.StatusServiceUnavailable, NotRun, "Send again after the time in Retry-After."},
