--- a/pkg/gatewayd/callerlimits.go
+++ b/pkg/gatewayd/callerlimits.go
@@ -44,14 +44,13 @@
 	// peerDescriptorShare is the share of descriptors for connections of other VMs.
 	peerDescriptorShare = 0.25
 	// statusHeadBytes and statusConnections bound the heads and the connections of the readiness and metrics servers, and
-	// readinessWriteTimeout and metricsWriteTimeout the time from the end of a head to the end of its answer. A CPU profile takes
-	// 30 s by default.
-	statusHeadBytes       = 4 << 10
-	statusConnections     = 32
-	statusReadTimeout     = 10 * time.Second
-	statusIdleTimeout     = time.Minute
-	readinessWriteTimeout = 10 * time.Second
-	metricsWriteTimeout   = 3 * time.Minute
+	// readinessTimeout and metricsTimeout the time from the begin of a request to the end of its answer. A CPU profile takes 30 s by
+	// default, and net/http ends its context when a read timeout passes.
+	statusHeadBytes   = 4 << 10
+	statusConnections = 32
+	statusIdleTimeout = time.Minute
+	readinessTimeout  = 10 * time.Second
+	metricsTimeout    = 3 * time.Minute
 	// minWriteTimeout and writeTimeoutMargin set after which time without progress a connection is closed whose answer is not read:
 	// later than any time limit of the configuration, or the gateway's default of 30 s, ends.
 	minWriteTimeout    = 30 * time.Second
@@ -141,9 +140,9 @@
 }
 
 // newStatusServer returns a server for readiness or metrics, whose requests are small.
-func newStatusServer(handler http.Handler, writeTimeout time.Duration) *http.Server {
+func newStatusServer(handler http.Handler, timeout time.Duration) *http.Server {
 	return &http.Server{
-		Handler: handler, MaxHeaderBytes: statusHeadBytes, ReadHeaderTimeout: defaultHeaderTimeout, ReadTimeout: statusReadTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: statusIdleTimeout,
+		Handler: handler, MaxHeaderBytes: statusHeadBytes, ReadHeaderTimeout: defaultHeaderTimeout, ReadTimeout: timeout,
+		WriteTimeout: timeout, IdleTimeout: statusIdleTimeout,
 	}
 }
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -70,8 +70,8 @@
 	s.callers = &http.Server{Handler: connlimit.LimitUnreadBodies(g), MaxHeaderBytes: defaultHeaderBytes}
 	s.callerEnforcer = connlimit.NewTimeoutEnforcer(s.callers, s.refusals)
 	s.callerHeads = newHeadLimiter(settings, view, registry, s.refusals)
-	s.readiness = newStatusServer(router, readinessWriteTimeout)
-	s.metrics = newStatusServer(admin.NewHandler(s.dumpState, registry, admin.Command{Path: suspect.ReleasePath, Run: s.releasePart}), metricsWriteTimeout)
+	s.readiness = newStatusServer(router, readinessTimeout)
+	s.metrics = newStatusServer(admin.NewHandler(s.dumpState, registry, admin.Command{Path: suspect.ReleasePath, Run: s.releasePart}), metricsTimeout)
 	return s
 }
 
