--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -231,7 +231,7 @@
 		return ctx
 	}
 	// As in the process, so that the tests cover wrapped connections.
-	b.server.Listener = connlimit.LimitListener(b.server.Listener, 1000, metrics.NewRegistry())
+	b.server.Listener = connlimit.LimitListener(b.server.Listener, 1000, metrics.NewRegistry(), nil)
 	b.server.Start()
 	t.Cleanup(b.server.Close)
 	return b
--- a/pkg/gatewayd/wiring_test.go
+++ b/pkg/gatewayd/wiring_test.go
@@ -37,5 +37,5 @@
 
 // Guards against a gateway that cannot find out whether callers read their responses.
 func TestGatewayKnowsTheConnectionsOfCallers(t *testing.T) {
-	require.NotNil(t, newServers(nil, metrics.NewRegistry()).callers.ConnContext)
+	require.NotNil(t, newServers(Settings{}, nil, nil, metrics.NewRegistry()).callers.ConnContext)
 }
