ratelimit: a response on an older connection ends the doubt after a refused one

Cause: endpoints also reset connections beyond the number that they accept. Change: upstream reports responses on connections that have carried others. If the connection is from before the refusal and the request from after it, the process has not ended; the VM and the home take the endpoint for warm again. Result: TestResponseOnAnOlderConnectionEndsTheDoubt and TestConnectionsThatAreAliveAreReported pass.

--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -154,6 +154,9 @@
 		OnConnectionLost: func(target upstream.Target) {
 			limits.ConnectionLost(roster.Incarnation{ID: target.ID, Started: target.Started})
 		},
+		OnConnectionAlive: func(target upstream.Target, opened, sent time.Time) {
+			limits.ConnectionAlive(roster.Incarnation{ID: target.ID, Started: target.Started}, opened, sent)
+		},
 	})}
 }
 
--- a/pkg/ratelimit/cold.go
+++ b/pkg/ratelimit/cold.go
@@ -52,6 +52,8 @@
 	sourceRefused = "refused"
 	// sourceLost says that the endpoint closed a connection while the list was out of date.
 	sourceLost = "connection_lost"
+	// sourceAlive says that the process which was thought to have ended has responded.
+	sourceAlive = "alive"
 )
 
 // ColdLimit is the limit of the cold endpoints of a group.
@@ -245,6 +247,25 @@
 	}
 }
 
+// ConnectionAlive records that an endpoint has responded to a request that was sent at a time, on a connection that was opened
+// earlier. If both times are on different sides of a refused or lost connection, the process has not ended then: endpoints
+// also reset connections beyond the number that they accept.
+func (l *Limiter) ConnectionAlive(id roster.Incarnation, opened, sent time.Time) {
+	l.mu.Lock()
+	e := l.endpoints[id.ID]
+	doubted := e != nil && e.cold.on && (e.cold.source == sourceRefused || e.cold.source == sourceLost) && opened.Before(e.cold.since) &&
+		sent.After(e.cold.stated.received) && id.Started == e.cold.stated.started
+	changed := false
+	if doubted {
+		now := time.Now()
+		changed = l.learnCold(id.ID, coldStatement{started: id.Started, until: now, sent: sent, received: now}, e.cold.rate, sourceAlive)
+	}
+	l.mu.Unlock()
+	if changed {
+		go l.reportToHome(id.ID)
+	}
+}
+
 // mayHaveRestarted treats an endpoint as cold because an incarnation that is not listed yet may have taken its place.
 func (l *Limiter) mayHaveRestarted(id roster.Incarnation, source string) {
 	now := time.Now()
--- a/pkg/ratelimit/cold_test.go
+++ b/pkg/ratelimit/cold_test.go
@@ -199,6 +199,35 @@
 	})
 }
 
+// Endpoints reset connections beyond the number that they accept. A response on a connection from before the refusal, to a
+// request from after it, shows at once that the endpoint has not started again; other responses do not.
+func TestResponseOnAnOlderConnectionEndsTheDoubt(t *testing.T) {
+	for name, c := range map[string]struct {
+		opened, sent time.Duration
+		limited      bool
+	}{
+		"sent before":   {-time.Second, -10 * time.Millisecond, true},
+		"opened after":  {20 * time.Millisecond, 30 * time.Millisecond, true},
+		"on both sides": {-time.Second, 300 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 7, func(f *fleet) {
+				f.set(func() { f.cold = ColdLimit{Rate: testColdRate, Duration: 8 * time.Second} })
+				refused := time.Now()
+				l := f.vms[3].limiter
+				l.Refused(f.endpoint)
+				time.Sleep(350 * time.Millisecond)
+				l.ConnectionAlive(f.endpoint, refused.Add(c.opened), refused.Add(c.sent))
+				time.Sleep(50 * time.Millisecond)
+				for _, v := range []int{0, 3} {
+					require.Equal(t, c.limited, f.vms[v].limiter.State("e").Cold.Cold, "VM %d", v)
+				}
+				require.Equal(t, c.limited, f.vms[3].limiter.Take(f.endpoint).By != "")
+			})
+		})
+	}
+}
+
 // A VM that is cut off from the list learns of a restart only from connections that the endpoint has lost. With a list that is
 // up to date, a lost connection says nothing.
 func TestConnectionLostWhileTheListIsStale(t *testing.T) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -16,6 +16,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// opened is when the connection was opened.
+	opened time.Time
 	// keepAliveUntil is when the idle connection may no longer be used, keepAliveMargin before the endpoint may
 	// close it; zero if the endpoint states no limit.
 	keepAliveUntil time.Time
@@ -67,7 +69,7 @@
 const readBufferSize = 2 << 10
 
 func newConn(c net.Conn) *conn {
-	cn := &conn{Conn: c, headBytesLeft: -1}
+	cn := &conn{Conn: c, opened: time.Now(), headBytesLeft: -1}
 	cn.reader = bufio.NewReaderSize(cn, readBufferSize)
 	return cn
 }
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -84,6 +84,9 @@
 	// OnConnectionLost is called when an endpoint has closed or reset a connection that has carried responses: before the
 	// head of the next one, or idle before it said that it would. The process may have ended.
 	OnConnectionLost func(Target)
+	// OnConnectionAlive is called when an endpoint has responded to a request on a connection that has carried responses
+	// before. The process that accepted the connection at the time opened still ran after the time sent of the request.
+	OnConnectionAlive func(target Target, opened, sent time.Time)
 }
 
 // NewClient returns a Client that takes its connections from the pools.
@@ -242,6 +245,9 @@
 	if c.events.OnResponse != nil {
 		c.events.OnResponse(a.target, a.Info, a.sent)
 	}
+	if a.conn.used && c.events.OnConnectionAlive != nil {
+		c.events.OnConnectionAlive(a.target, a.conn.opened, a.sent)
+	}
 }
 
 // ReportOwn reports what the head of the response states, for code that knows from the response that it is the endpoint's own
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -514,3 +514,24 @@
 	require.Nil(t, client.pools.take(once.target(), time.Now().Add(DefaultIdleTimeout)))
 	require.Empty(t, lost)
 }
+
+// A response on a connection that has carried others shows since when the process has run. One on a new connection does not.
+func TestConnectionsThatAreAliveAreReported(t *testing.T) {
+	e := listen(t, echo("", ""))
+	var opened []time.Time
+	client := newClientWith(t, Events{OnConnectionAlive: func(_ Target, since, sent time.Time) {
+		require.True(t, since.Before(sent))
+		opened = append(opened, since)
+	}})
+	begun := time.Now()
+	a, err := client.Send(t.Context(), e.target(), request("1"))
+	require.NoError(t, err)
+	readAll(t, a)
+	require.Empty(t, opened)
+	answered := time.Now()
+	a, err = client.Send(t.Context(), e.target(), request("2"))
+	require.NoError(t, err)
+	readAll(t, a)
+	require.Len(t, opened, 1)
+	require.WithinRange(t, opened[0], begun, answered)
+}
