peer: wait a second before unread answers hold up calls; a third of the descriptors

Cause: a full update takes up to a second over the slowest link, and heartbeats on its connection would have waited for it. The limit of connections by descriptors (768 on the smallest VM) left little for the connections that calls open at the same moment. Change: 1 s instead of 50 ms, a third of the descriptors instead of a quarter.

--- a/pkg/gatewayd/callerlimits.go
+++ b/pkg/gatewayd/callerlimits.go
@@ -41,8 +41,9 @@
 	// result code.
 	headSeparatorFactor = 2
 	headSlackBytes      = 4 << 10
-	// peerDescriptorShare is the share of descriptors for connections of other VMs.
-	peerDescriptorShare = 0.25
+	// peerDescriptorShare is the share of descriptors for connections of other VMs. A VM that finds no open connection opens one for each
+	// call at that moment, so more are open for a while than there are VMs.
+	peerDescriptorShare = 1.0 / 3
 	// statusHeadBytes and statusConnections bound the heads and the connections of the readiness and metrics servers, and
 	// readinessTimeout and metricsTimeout the time from the begin of a request to the end of its answer. A CPU profile takes 30 s by
 	// default, and net/http ends its context when a read timeout passes.
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -14,9 +14,10 @@
 	// number that it may have.
 	connectionCallShare = 0.25
 	minConnectionCalls  = 32
-	// unreadAnswerDelay is the time after which an answer that could not be written holds up further calls of its connection, and
-	// callSlotInterval the interval between two looks for a free slot.
-	unreadAnswerDelay = 50 * time.Millisecond
+	// unreadAnswerDelay is the time after which an answer that could not be written holds up further calls of its connection. A full
+	// update of the relay takes up to a second over the slowest link, and heartbeats that arrive meanwhile must be received.
+	// callSlotInterval is the interval between two looks for a free slot.
+	unreadAnswerDelay = time.Second
 	callSlotInterval  = 5 * time.Millisecond
 	// answerTimeout bounds the writing of one answer.
 	answerTimeout = 30 * time.Second
--- a/pkg/peer/messages_test.go
+++ b/pkg/peer/messages_test.go
@@ -167,6 +167,9 @@
 	address, _ := startLimited(t, Limits{MessageBytes: limit, Memory: memory.NewBudget(4 * limit), Calls: 4, Connections: 4})
 	pool := NewPool(noTLS, NewTraffic(metrics.NewRegistry(), "calls"))
 	t.Cleanup(pool.Close)
+	// The first call opens the connection that the others share; calls that find none open one each, more than the limit.
+	var first int
+	require.NoError(t, pool.Call(t.Context(), address, "Sink.Put", SinkArgs{}, &first))
 	done := make(chan error)
 	for i := range 200 {
 		go func() {
