--- a/pkg/connlimit/heads.go
+++ b/pkg/connlimit/heads.go
@@ -24,8 +24,6 @@
 	// connection, and the caller may not get the refusal.
 	refusalLinger = 500 * time.Millisecond
 	refusalBytes  = 1 << 20
-	// writeStep is the most bytes of one write, so that a slow caller shows as progress.
-	writeStep = 64 << 10
 )
 
 // Refusals of heads. Both say truthfully that the request has not run: its head has not been read to the end.
@@ -78,9 +76,8 @@
 	limiter *HeadLimiter
 	// inHead says that the next bytes belong to a head.
 	inHead atomic.Bool
-	// headBegun is when the first byte of the head arrived, writeBegun when the current write began or last made progress, both
-	// since clockBase; 0 if there is none.
-	headBegun, writeBegun atomic.Int64
+	// headBegun is when the first byte of the head arrived, since clockBase; 0 if there is none.
+	headBegun atomic.Int64
 	// size is the number of bytes of the head that have been read. Only the goroutine that reads uses it.
 	size int64
 
@@ -146,20 +143,6 @@
 	return errRefused
 }
 
-// Write writes to the connection in steps, so that progress can be observed.
-func (c *headConn) Write(p []byte) (int, error) {
-	defer c.writeBegun.Store(0)
-	written := 0
-	for {
-		c.writeBegun.Store(max(1, int64(time.Since(clockBase))))
-		n, err := c.Conn.Write(p[written:min(len(p), written+writeStep)])
-		written += n
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
-}
-
 // Close closes the connection and gives back the memory of its head. It may be called more than once.
 func (c *headConn) Close() error {
 	c.mu.Lock()
@@ -198,12 +181,6 @@
 	return clockBase.Add(time.Duration(begun)), begun != 0
 }
 
-// writeSince returns since when the current write has made no progress; false if nothing is being written.
-func (c *headConn) writeSince() (time.Time, bool) {
-	begun := c.writeBegun.Load()
-	return clockBase.Add(time.Duration(begun)), begun != 0
-}
-
 // SetLinger sets the behavior of Close as net.TCPConn.SetLinger does.
 func (c *headConn) SetLinger(sec int) error { return setLinger(c.Conn, sec) }
 
--- a/pkg/connlimit/refusals.go
+++ b/pkg/connlimit/refusals.go
@@ -16,7 +16,6 @@
 	ReasonHeadTooLarge = "entry.refused_heads_too_large"
 	ReasonHeadMemory   = "entry.refused_heads_no_memory"
 	ReasonHeadTimeout  = "entry.closed_slow_heads"
-	ReasonWriteStalled = "entry.closed_unread_answers"
 )
 
 // maxAddresses is the number of addresses that Refusals tells apart between two log lines. Others are counted together.
--- a/pkg/connlimit/timeouts.go
+++ b/pkg/connlimit/timeouts.go
@@ -12,8 +12,6 @@
 	// Header limits the time in which the whole header of a request must arrive, Idle the time between two
 	// requests on a connection.
 	Header, Idle time.Duration
-	// Write limits the time for which the writing of an answer may make no progress; 0 sets no limit.
-	Write time.Duration
 }
 
 // headSlack is added to Timeouts.Header for a head of which a part has arrived, so that one that takes just that long is not cut off
@@ -28,8 +26,6 @@
 	mu sync.Mutex
 	// conns holds the connections that no request is being served on. It is guarded by mu.
 	conns map[net.Conn]waitingConn
-	// busy holds the connections that a request is being served on. It is guarded by mu.
-	busy map[net.Conn]struct{}
 }
 
 // waitingConn is the state of a connection on which no request is being served: the whole header of its next
@@ -45,12 +41,12 @@
 // hook and must be called before the server starts. refusals, which may be nil, records the connections that it closes, other
 // than idle ones.
 func NewTimeoutEnforcer(s *http.Server, refusals *Refusals) *TimeoutEnforcer {
-	e := &TimeoutEnforcer{refusals: refusals, conns: map[net.Conn]waitingConn{}, busy: map[net.Conn]struct{}{}}
+	e := &TimeoutEnforcer{refusals: refusals, conns: map[net.Conn]waitingConn{}}
 	s.ConnState = e.recordState
 	return e
 }
 
-// recordState adds the connection to the waiting or busy ones or removes it. It is the server's ConnState hook.
+// recordState adds the connection to the waiting ones or removes it. It is the server's ConnState hook.
 func (e *TimeoutEnforcer) recordState(c net.Conn, state http.ConnState) {
 	if head, ok := c.(*headConn); ok {
 		head.setState(state)
@@ -58,19 +54,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.conns, c)
-	delete(e.busy, c)
 	switch state {
 	case http.StateNew, http.StateIdle:
 		e.conns[c] = waitingConn{since: time.Now(), isNew: state == http.StateNew}
-	case http.StateActive:
-		e.busy[c] = struct{}{}
 	}
 }
 
 // CloseExpired closes the connections that have exceeded their timeout. A new connection is closed after
 // p.Header; one that has carried a request after p.Idle and p.Header together, because the header of its
 // next request may have begun to arrive at the end of the idle time. Where the first byte of a header is known to have arrived,
-// p.Header counts from then on. A connection whose answer is not read is closed after p.Write.
+// p.Header counts from then on.
 func (e *TimeoutEnforcer) CloseExpired(p Timeouts, now time.Time) {
 	expired := map[net.Conn]string{}
 	e.mu.Lock()
@@ -79,11 +72,6 @@
 			expired[c] = reason
 		}
 	}
-	for c := range e.busy {
-		if writeStalled(c, p, now) {
-			expired[c] = ReasonWriteStalled
-		}
-	}
 	e.mu.Unlock()
 	for c, reason := range expired {
 		if reason != "" {
@@ -106,13 +94,3 @@
 	}
 	return "", now.Sub(w.since) > p.Header+p.Idle
 }
-
-// writeStalled reports whether an answer on the connection has not been read for p.Write.
-func writeStalled(c net.Conn, p Timeouts, now time.Time) bool {
-	head, ok := c.(*headConn)
-	if !ok || p.Write <= 0 {
-		return false
-	}
-	begun, writing := head.writeSince()
-	return writing && now.Sub(begun) > p.Write
-}
--- a/pkg/gatewayd/callerlimits.go
+++ b/pkg/gatewayd/callerlimits.go
@@ -52,10 +52,6 @@
 	statusIdleTimeout = time.Minute
 	readinessTimeout  = 10 * time.Second
 	metricsTimeout    = 3 * time.Minute
-	// minWriteTimeout and writeTimeoutMargin set after which time without progress a connection is closed whose answer is not read:
-	// later than any time limit of the configuration, or the gateway's default of 30 s, ends.
-	minWriteTimeout    = 30 * time.Second
-	writeTimeoutMargin = 10 * time.Second
 )
 
 // maxCallerConnections returns the number of callers' connections that the VM's descriptors and memory allow.
@@ -123,7 +119,6 @@
 func callerTimeouts(rules *gateway.Rules) connlimit.Timeouts {
 	timeouts := connlimit.Timeouts{Header: defaultHeaderTimeout, Idle: defaultIdleTimeout}
 	if rules == nil {
-		timeouts.Write = timeouts.Idle + writeTimeoutMargin
 		return timeouts
 	}
 	if limit := rules.Bundle.Callers.HeaderTimeout; limit > 0 {
@@ -132,11 +127,6 @@
 	if limit := rules.Bundle.Callers.IdleTimeout; limit > 0 {
 		timeouts.Idle = limit
 	}
-	longest := max(minWriteTimeout, timeouts.Header, timeouts.Idle)
-	for _, route := range rules.Bundle.Routes {
-		longest = max(longest, route.Timeout)
-	}
-	timeouts.Write = longest + writeTimeoutMargin
 	return timeouts
 }
 
