--- a/pkg/connlimit/heads_test.go
+++ b/pkg/connlimit/heads_test.go
@@ -133,7 +133,7 @@
 	requireClosed(t, conn)
 }
 
-// Guards against a log that grows with the number of hostile callers, or tells nothing of them.
+// Guards against a log that grows with the number of hostile callers, or says nothing about them.
 func TestRefusalsAreLoggedInOneLine(t *testing.T) {
 	r := NewRefusals(metrics.NewRegistry())
 	log, hook := logtest.NewNullLogger()
--- a/pkg/connlimit/refusals.go
+++ b/pkg/connlimit/refusals.go
@@ -18,7 +18,7 @@
 	ReasonHeadTimeout  = "entry.closed_slow_heads"
 )
 
-// maxAddresses is the number of addresses that Refusals tells apart between two log lines. Others are counted together.
+// maxAddresses is the number of addresses that Refusals counts separately between two log lines. Others are counted together.
 const maxAddresses = 16
 
 // Refusals counts the connections that are refused or closed, and logs from where they came. A nil *Refusals records nothing. It is
--- a/pkg/gateway/slowcallers_test.go
+++ b/pkg/gateway/slowcallers_test.go
@@ -84,9 +84,9 @@
 	return string(body), err
 }
 
-// respondUnlessUnread responds with body and resets the connection once a write has been blocked for patience. A length is
+// respondUnlessUnread responds with body and resets the connection once a write has been blocked for limit. A length is
 // stated if stated is true.
-func respondUnlessUnread(body string, stated bool, patience time.Duration) handler {
+func respondUnlessUnread(body string, stated bool, limit time.Duration) handler {
 	return func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
@@ -101,7 +101,7 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nSignature: s\r\nContent-Type: text/plain; charset=utf-8\r\n"+length+"\r\n")
 		for left := body; left != ""; {
 			part := left[:min(len(left), 1000)]
-			_ = conn.SetWriteDeadline(time.Now().Add(patience))
+			_ = conn.SetWriteDeadline(time.Now().Add(limit))
 			if _, err := io.WriteString(conn, part); err != nil {
 				_ = conn.(*net.TCPConn).SetLinger(0)
 				return
--- a/pkg/orders/evacuation_test.go
+++ b/pkg/orders/evacuation_test.go
@@ -101,7 +101,7 @@
 	})
 }
 
-// Guards against orders by outdated books after a domain was restored, and against an engine that gets no orders any more.
+// Guards against orders by an outdated view of the engine after a domain was restored, and against an engine that gets no orders any more.
 func TestRestoredEngineIsReadBeforeNewOrders(t *testing.T) {
 	runWithFixture(t, func(f *fixture) {
 		calls := &timedEngines{fakeEngines: f.engines}
