placement: engines beyond the homes are expected to hold no part of the prompt

Cause: the work of a request at an engine that was not asked was taken for that at the last home asked, where shared parts of its prompt are kept. Requests with long shared prompts went to engines where they had to be processed again, and were late. Change: owners also reply with the time for the whole prompt, which counts at other engines. Only mode cost is concerned.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -155,7 +155,7 @@
 	plan.Named(sparesOf(reply), time.Now())
 	switch reply.Status {
 	case orders.Offered, orders.Waiting:
-		plan.Offered(step.Endpoint, placement.Forecast{First: reply.Estimate, Own: reply.Own, Run: reply.Run, Displaced: reply.Displaced}, reply.Delay)
+		plan.Offered(step.Endpoint, placement.Forecast{First: reply.Estimate, Own: reply.Own, Full: reply.Full, Run: reply.Run, Displaced: reply.Displaced}, reply.Delay)
 	case orders.NotOwner:
 		if step.Action == placement.Ask {
 			return s.placeAtKnownLocation(step.Endpoint)
--- a/pkg/orders/message.go
+++ b/pkg/orders/message.go
@@ -98,6 +98,8 @@
 	// Own is the time to the first token that the request would have at an idle engine. It is the part of
 	// Estimate that is not caused by other requests.
 	Own time.Duration
+	// Full is what Own would be if the engine held no part of the prompt; 0 if it is not known.
+	Full time.Duration
 	// Run is the expected time from the first token to the end of the response; 0 if it is not known.
 	Run time.Duration
 	// Displaced is the time that the engine needs for the prompts of less urgent requests, which the request delays.
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -430,7 +430,7 @@
 	f, delay := w.load.Forecast(w.work(args), start), w.adapterDelay(args, key, start)
 	if bounds := (placement.Bounds{First: args.Bound, Load: args.LoadBound, Total: args.TotalBound}); !bounds.Accept(f, delay) {
 		w.mu.Unlock()
-		return AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Displaced: f.Displaced, Delay: delay}
+		return AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Full: f.Full, Run: f.Run, Displaced: f.Displaced, Delay: delay}
 	}
 	if reply, ok := w.grant(args, key, start); ok {
 		w.mu.Unlock()
@@ -514,7 +514,7 @@
 	if args.Expected > 0 {
 		output = args.Expected
 	}
-	return placement.Work{Unread: unread, Memory: unread + output, Events: args.Events, Urgency: args.Urgency}
+	return placement.Work{Unread: unread, Prompt: args.Tokens, Memory: unread + output, Events: args.Events, Urgency: args.Urgency}
 }
 
 // grant grants a permit if the adapter is usable now. w.mu must be held.
--- a/pkg/placement/cost_load.go
+++ b/pkg/placement/cost_load.go
@@ -46,7 +46,7 @@
 	if w.Events > 0 {
 		run = time.Duration(w.Events) * s.Event
 	}
-	return Forecast{First: first, Own: own, Run: run, Displaced: time.Duration(all-ahead) * s.Token, other: other}
+	return Forecast{First: first, Own: own, Full: s.first(max(w.Prompt, w.Unread)), Run: run, Displaced: time.Duration(all-ahead) * s.Token, other: other}
 }
 
 // laterArrivals returns what more urgent requests are expected to arrive a second and overtake the request.
--- a/pkg/placement/cost_search.go
+++ b/pkg/placement/cost_search.go
@@ -92,10 +92,11 @@
 	// named for others.
 	offers []Offer
 	loads  map[roster.Incarnation]time.Duration
-	// own and run are the last expected time of the request's own work, and of the rest of the response.
-	own, run time.Duration
-	sends    int
-	held     bool
+	// own and run are the last expected time of the request's own work, and of the rest of the response. full is the former at an
+	// engine that holds no part of the prompt, as may be all beyond the homes.
+	own, full, run time.Duration
+	sends          int
+	held           bool
 	// refused says that no engine can take the request in time.
 	refused bool
 }
@@ -140,7 +141,7 @@
 
 // Offered implements Plan.
 func (s *CostSearch) Offered(e roster.Endpoint, f Forecast, loadDelay time.Duration) {
-	s.own, s.run = f.Own, f.Run
+	s.own, s.full, s.run = f.Own, max(f.Full, f.Own), f.Run
 	s.offers = slices.DeleteFunc(s.offers, func(o Offer) bool { return o.Endpoint.Incarnation == e.Incarnation })
 	s.offers = append(s.offers, Offer{e, f.First, f.First - f.Own, loadDelay, f.Displaced})
 }
@@ -198,7 +199,7 @@
 	if s.others < s.maxOthers() && s.sends == 0 {
 		if e, ok := s.other(best, inTime, now); ok {
 			s.others++
-			s.Known.lengthen(s.group, e.Incarnation, s.own)
+			s.Known.lengthen(s.group, e.Incarnation, s.full)
 			return s.ask(e, now)
 		}
 	}
@@ -267,7 +268,7 @@
 		if inTime && load > 0 {
 			continue
 		}
-		o := Offer{Endpoint: e, Estimate: queue + s.own, Queue: queue, LoadDelay: load}
+		o := Offer{Endpoint: e, Estimate: queue + s.full, Queue: queue, LoadDelay: load}
 		price := s.price(o)
 		if price < least || !inTime && !ok && s.inTime(o, now) {
 			found, least, ok = e, price, true
--- a/pkg/placement/load.go
+++ b/pkg/placement/load.go
@@ -53,6 +53,8 @@
 	Unread, Memory int
 	// Events is the expected number of events of the response; 0 if it is not known.
 	Events int
+	// Prompt is the number of all prompt tokens, with the parts that the engine holds.
+	Prompt int
 	// Urgency ranks the request; 0 is the most urgent.
 	Urgency int
 }
@@ -80,6 +82,8 @@
 	// First is the time to the first token, without the wait for the adapter. Own is the part of it that the request
 	// would take at an idle engine.
 	First, Own time.Duration
+	// Full is what Own would be at an engine that holds no part of the prompt; 0 if it is not known.
+	Full time.Duration
 	// Run is the time from the first token to the end of the response; 0 if it is not known.
 	Run time.Duration
 	// Displaced is the time that the engine needs for the prompts of less urgent requests, which the request delays.
