--- a/pkg/placement/service_admission.go
+++ b/pkg/placement/service_admission.go
@@ -8,14 +8,14 @@
 
 const (
 	// overloadGain and overloadDecay are by how much a response that shows overload raises the overload of a group, and by
-	// how much another one lowers it. A VM gets a few responses a second.
+	// how much another one lowers it. They balance when about one in eight responses shows overload.
 	overloadGain  = 0.15
 	overloadDecay = 0.02
 	// overloadHalfLife is the time in which the overload halves without responses: most requests may have been refused.
-	overloadHalfLife = 4 * time.Second
-	// overloadDeadband is the overload up to which nothing is refused. Three late responses or rejections in a row, which
-	// happen at low load too, do not exceed it.
-	overloadDeadband = 0.5
+	overloadHalfLife = time.Second
+	// overloadDeadband is the overload up to which nothing is refused. A single late response or rejection, which happens
+	// at low load too, stays below it.
+	overloadDeadband = 0.25
 	// maxRefusedShare bounds the share of the requests that are refused. The rest shows when the overload ends.
 	maxRefusedShare = 0.9
 	// lateShare is the part of the objective from which on a response shows overload: the queue takes the time that
@@ -132,7 +132,7 @@
 	g := a.group(group)
 	g.overload, g.at = g.overloadAt(now), now
 	if overloaded {
-		g.overload = min(g.overload+overloadGain, 1)
+		g.overload += overloadGain * (1 - g.overload)
 	} else {
 		g.overload = max(g.overload-overloadDecay, 0)
 	}
--- a/pkg/placement/service_admission_test.go
+++ b/pkg/placement/service_admission_test.go
@@ -138,7 +138,7 @@
 		with.run(6*time.Second, rates)
 		t.Logf("seed %d: in time %d, late %d without admission; in time %d, late %d with it", seed, without.inTime, without.late, with.inTime, with.late)
 		require.Greater(t, with.inTime, without.inTime)
-		require.Greater(t, float64(with.inTime), 0.85*600*6, "of the requests that the service can serve, while its VMs learn its capacity")
+		require.Greater(t, float64(with.inTime), 0.9*600*6, "of the requests that the service can serve")
 	}
 }
 
@@ -174,7 +174,7 @@
 			}
 		}
 		if overloaded {
-			a.record("g", step%4 == 0, now)
+			a.record("g", step%2 == 0, now)
 		}
 	}
 	share := func(account string) float64 { return float64(refused[account]) / float64(asked[account]) }
@@ -189,7 +189,7 @@
 	refused := map[time.Duration]int{}
 	for range 1000 {
 		for _, limit := range []time.Duration{1500 * time.Millisecond, time.Second} {
-			a.group("g").overload, a.group("g").at = 0.75, now
+			a.group("g").overload, a.group("g").at = 0.6, now
 			if retryAfter, ok := a.Admit(ServiceRequest{Group: "g", Route: "r", TimeLimit: limit}, now); !ok {
 				refused[limit]++
 				require.GreaterOrEqual(t, retryAfter, minServiceReturn)
