review: a request that makes servers go dark is never refused

A crash counts against a request only if the server's channel ends. A request that makes each server that begins to run it go dark goes on to be sent, and takes a server away each time.

With TROUBLE=0, where the channels end at once, the rule was kept.

--- a/review/lab-2/testdata/server.go
+++ b/review/lab-2/testdata/server.go
@@ -36,6 +36,8 @@
 	crash
 	// crashAfterEvent ends the server as it begins to run the request: after it has written the head and the first event.
 	crashAfterEvent
+	// goDark makes the server answer nothing more as it begins to run the request, until another one starts in its place.
+	goDark
 )
 
 // arrival is a client's request that has reached a server.
@@ -72,8 +74,9 @@
 	born  int64
 	http  *http.Server
 	slots chan struct{}
-	ended chan struct{}
-	once  sync.Once
+	// ended is closed when the server has crashed or gone dark, over when its channels end.
+	ended, over chan struct{}
+	once        sync.Once
 }
 
 // start starts a server under a new id, and writes its entry until it ends.
@@ -87,7 +90,7 @@
 	id := fmt.Sprintf("i-%s-%03d", f.service, f.started)
 	f.mu.Unlock()
 	s := &server{
-		fleet: f, id: id, zone: zone, at: l.Addr().String(), born: time.Now().UnixMilli(), slots: make(chan struct{}, 64), ended: make(chan struct{}),
+		fleet: f, id: id, zone: zone, at: l.Addr().String(), born: time.Now().UnixMilli(), slots: make(chan struct{}, 64), ended: make(chan struct{}), over: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.http.Serve(l) }()
@@ -133,12 +136,40 @@
 		f.mu.Unlock()
 		f.w.note("server %s crashes under %s: crash %d", s.id, cause, n)
 		close(s.ended)
+		close(s.over)
 		_ = s.http.Close()
 		time.AfterFunc(downTime, func() { _ = f.start(s.zone) })
 	})
 }
 
+// darken makes the server go dark. Its channels stay open and silent until another server starts in its place.
+func (s *server) darken(cause string) {
+	s.once.Do(func() {
+		f := s.fleet
+		f.mu.Lock()
+		f.crashes = append(f.crashes, time.Now())
+		n := len(f.crashes)
+		f.mu.Unlock()
+		f.w.note("server %s goes dark under %s: crash %d", s.id, cause, n)
+		close(s.ended)
+		time.AfterFunc(downTime, func() {
+			_ = s.http.Close()
+			close(s.over)
+			_ = f.start(s.zone)
+		})
+	})
+	<-s.over
+	panic(http.ErrAbortHandler)
+}
+
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-s.ended:
+		// It has crashed or gone dark.
+		<-s.over
+		panic(http.ErrAbortHandler)
+	default:
+	}
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Instance-Id", s.id)
@@ -191,7 +222,7 @@
 	a.action, a.mark = s.fleet.decide(s, r, string(body))
 	s.fleet.add(a)
 	if a.mark != "" {
-		s.fleet.w.note("request %s (%s) reaches server %s: %s", id, a.mark, s.id, []string{"served", "500", "crash", "crash"}[a.action])
+		s.fleet.w.note("request %s (%s) reaches server %s: %s", id, a.mark, s.id, []string{"served", "500", "crash", "crash", "goes dark"}[a.action])
 	}
 	whole := standin.Body(id, s.events())
 	w.Header().Set("X-Response-Signature", standin.Signature(whole))
@@ -210,6 +241,8 @@
 		}
 		s.crash(id)
 		panic(http.ErrAbortHandler)
+	case goDark:
+		s.darken(id)
 	default:
 		s.answer(w, r, id, whole)
 	}
