--- a/review/8/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mallowlinkd ] && [ -x target/review-2/lab ] || { echo "build first: the deploy file and review/build-2.sh" >&2; exit 2; }
-exec target/review-2/lab -case part-long -record review/8/record.txt
+exec target/review-2/lab -case part-long -record review/10/record.txt
