--- a/review/lab-2/testdata/crashes.go
+++ b/review/lab-2/testdata/crashes.go
@@ -64,7 +64,7 @@
 			time.Sleep(every)
 		}
 	}
-	clients.Go(func() { send("sound", 100*time.Millisecond, parts) })
+	clients.Go(func() { send("sound", 12*time.Millisecond, parts) })
 	fatal := append(append(append([]string{}, parts[:place-1]...), fatalPart+":20"), parts[place-1:]...)
 	clients.Go(func() { send("fatal", 700*time.Millisecond, fatal) })
 	clients.Wait()
@@ -88,6 +88,7 @@
 		return nil
 	}
 	from := f.crashes[crashes-1].Add(contact)
+	f.w.note("%s", f.lostBySound(from))
 	late := 0
 	for _, a := range f.arrivals {
 		if a.mark == mark && a.at.After(from) {
@@ -103,6 +104,17 @@
 	return nil
 }
 
+// lostBySound says how many sound requests were running, from a time on, at servers that crashed under them.
+func (f *fleet) lostBySound(from time.Time) string {
+	lost := 0
+	for _, a := range f.arrivals {
+		if a.mark == "" && a.action == serve && a.cut && a.at.After(from) {
+			lost++
+		}
+	}
+	return fmt.Sprintf("sound requests that were running from then on at servers as these crashed: %d", lost)
+}
+
 // Times of the case of a request that crashes servers.
 const (
 	greyTime = 4 * time.Second
@@ -169,7 +181,7 @@
 			time.Sleep(every)
 		}
 	}
-	clients.Go(func() { send("sound", 50*time.Millisecond, "") })
+	clients.Go(func() { send("sound", 21*time.Millisecond, "") })
 	clients.Go(func() { send("fatal", time.Second, fatalBody) })
 	clients.Wait()
 	return f.checkFatal("fatal", 3)
--- a/review/lab-2/testdata/server.go
+++ b/review/lab-2/testdata/server.go
@@ -22,7 +22,7 @@
 	// streamEvents and eventGap are the length and the pace of a stream.
 	streamEvents = 6
 	eventGap     = 10 * time.Millisecond
-	serviceWork  = 15 * time.Millisecond
+	serviceWork  = 30 * time.Millisecond
 )
 
 // action is what a server does with a request that has a slot.
@@ -49,6 +49,8 @@
 	tokens float64
 	ran    bool
 	mark   string
+	// cut says that the server has crashed while it ran the request.
+	cut bool
 }
 
 // fleet holds what the servers of a case have in common.
@@ -60,7 +62,7 @@
 	decide func(s *server, r *http.Request, body string) (action, string)
 
 	mu       sync.Mutex
-	arrivals []arrival
+	arrivals []*arrival
 	crashes  []time.Time
 	started  int
 }
@@ -205,7 +207,7 @@
 	if err != nil {
 		return
 	}
-	a := arrival{id: id, server: s.id, at: time.Now(), tokens: tokens(r.Header.Get("X-Token-Count"))}
+	a := &arrival{id: id, server: s.id, at: time.Now(), tokens: tokens(r.Header.Get("X-Token-Count"))}
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -245,6 +247,13 @@
 		s.darken(id)
 	default:
 		s.answer(w, r, id, whole)
+		select {
+		case <-s.ended:
+			s.fleet.mu.Lock()
+			a.cut = true
+			s.fleet.mu.Unlock()
+		default:
+		}
 	}
 }
 
@@ -276,7 +285,7 @@
 	}
 }
 
-func (f *fleet) add(a arrival) {
+func (f *fleet) add(a *arrival) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.arrivals = append(f.arrivals, a)
