--- a/review/lab-2/testdata/route.go
+++ b/review/lab-2/testdata/route.go
@@ -39,7 +39,7 @@
 			}
 		}
 	}
-	routes := []map[string]any{route("lookup", "safe", "ledger", prefix, 2, time.Second)}
+	routes := []map[string]any{route("record", "non_idempotent", "ledger", prefix, 1, time.Second)}
 	if err := w.configure(routes, services, 0, 0); err != nil {
 		return err
 	}
@@ -53,7 +53,7 @@
 	for n := 0; time.Since(begun) < 16*time.Second; n++ {
 		if trouble && !changed && time.Since(begun) > 6*time.Second {
 			changed = true
-			if err := w.configure(append(routes, route("lookup-old", "safe", "archive", added, 2, time.Second)), services, 0, 0); err != nil {
+			if err := w.configure(append(routes, route("record-old", "non_idempotent", "archive", added, 1, time.Second)), services, 0, 0); err != nil {
 				return err
 			}
 			w.note("the operator adds a route: %s to the service archive", added)
@@ -61,7 +61,7 @@
 		g, id := w.gateways[n%len(w.gateways)], w.nextID()
 		path := []string{"/tags/old%2F77", "/tags/new%2F78"}[n%2]
 		clients.Go(func() {
-			status := w.send(client, g, request{id: id, method: "GET", path: path, timeout: time.Second})
+			status := w.send(client, g, request{id: id, method: "POST", path: path, body: "record " + id, timeout: time.Second})
 			w.note("request %s for %s to %s: %s", id, path, g.name, outcome(status))
 		})
 		time.Sleep(50 * time.Millisecond)
