connlimit: a test waits until the memory of a head is given back

The server gives the memory of a head back when its connection turns idle, which is after the response has been sent; the test sent the next head at once.

Change: the test waits until as much memory is free as the first head held, 5 s at most, and then requires the same as before: 200 for a head of that size, and exactly one refusal. Memory that is not given back still fails it.

--- a/pkg/connlimit/heads_test.go
+++ b/pkg/connlimit/heads_test.go
@@ -98,12 +98,16 @@
 	_, err := io.WriteString(first, headOf(20_000))
 	require.NoError(t, err)
 	<-begun
+	heldByFirst := s.memory.Used()
 	res := exchange(t, dial(t, s.address), headOf(10_000))
 	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
 	require.Equal(t, "1", res.Header.Get("Retry-After"))
 	require.Equal(t, http.StatusOK, exchange(t, dial(t, s.address), headOf(FreeHeadBytes)).StatusCode)
+	held := s.memory.Used()
 	close(release)
 	require.Equal(t, http.StatusOK, exchange(t, first, "").StatusCode)
+	// The memory is given back after the response has been sent.
+	require.Eventually(t, func() bool { return s.memory.Used() <= held-heldByFirst }, 5*time.Second, time.Millisecond)
 	require.Equal(t, http.StatusOK, exchange(t, dial(t, s.address), headOf(10_000)).StatusCode)
 	require.EqualValues(t, 1, s.count(ReasonHeadMemory))
 }
