--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -41,6 +41,12 @@
 				e = candidate
 			}
 		}
+		if e.restarting {
+			// Another request that ran at the crash has reported it.
+			w.mu.Unlock()
+			return
+		}
+		e.restarting = true
 		w.crashes++
 		same := w.crashes%2 == 0
 		w.mu.Unlock()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -104,6 +104,8 @@
 	proxy *proxy
 	// ended is when it crashed or left; zero while it runs.
 	ended time.Time
+	// restarting says that it has been crashed by a request, and is started again for that.
+	restarting bool
 }
 
 // vm is a VM with the proxies around its process.
