Responses whose status line is not one of HTTP fail their endpoint

What callers saw: with an endpoint that responds with status 000, 001, 099 or +20, the connection was closed without a response, on routes whose requests may be repeated too; 101, 600 and 999 and the versions HTTP/2.0 and HTTP/0.9 were passed on, as was a control byte in the reason's line. A health check with any of them counted as alive.

Cause: net/http takes any three characters for a status that Atoi reads as not negative, and no reader checked the range. WriteHeader then panicked, after the attempt had been counted as a success.

What is no status line ends the attempt like a response that did not come.

Held before and kept as tests: resets in heads and bodies of each framing, after interim responses too, broken chunks, short bodies, wrong lengths, control bytes in names and values.

--- a/pkg/httponce/client.go
+++ b/pkg/httponce/client.go
@@ -13,6 +13,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/mallowlink/mallowlink/pkg/httpresponse"
 )
 
 // Defaults of Options, and the fixed limit on the size of a response's header.
@@ -65,20 +67,13 @@
 
 // New returns a Client.
 func New(opts Options) *Client {
-	dialer := &net.Dialer{Timeout: orDefault(opts.DialTimeout, DefaultDialTimeout)}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	d := &dialer{timeout: orDefault(opts.DialTimeout, DefaultDialTimeout), tls: opts.TLS}
 	return &Client{transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &writeCountingConn{Conn: conn}, nil
-		},
+		DialContext:            d.dial,
+		DialTLSContext:         d.dialTLS,
 		Protocols:              protocols,
-		TLSClientConfig:        opts.TLS,
-		TLSHandshakeTimeout:    orDefault(opts.DialTimeout, DefaultDialTimeout),
 		IdleConnTimeout:        orDefault(opts.IdleTimeout, DefaultIdleTimeout),
 		MaxIdleConnsPerHost:    orDefault(opts.MaxIdlePerHost, DefaultMaxIdlePerHost),
 		MaxConnsPerHost:        opts.MaxPerHost,
@@ -88,6 +83,58 @@
 	}}
 }
 
+// dialer opens connections on which responses are checked.
+type dialer struct {
+	// timeout bounds connecting, and separately the TLS handshake.
+	timeout time.Duration
+	// tls may be nil.
+	tls *tls.Config
+}
+
+// dial opens a connection without TLS.
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.connect(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return httpresponse.NewConn(conn), nil
+}
+
+// dialTLS opens a connection with TLS.
+func (d *dialer) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.connect(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if d.tls != nil {
+		config = d.tls.Clone()
+	}
+	if config.ServerName == "" {
+		if config.ServerName, _, err = net.SplitHostPort(address); err != nil {
+			conn.Close()
+			return nil, err
+		}
+	}
+	secure := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return httpresponse.NewConn(secure), nil
+}
+
+// connect opens a TCP connection.
+func (d *dialer) connect(ctx context.Context, network, address string) (*writeCountingConn, error) {
+	conn, err := (&net.Dialer{Timeout: d.timeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &writeCountingConn{Conn: conn}, nil
+}
+
 // Do sends the request and returns once the head of the response has arrived. Its errors are of type *Error.
 // If a connection failed before any part of the request was written, Do sends the request once more on another
 // connection, provided that a request with a body has GetBody set. The body of the response must be closed by
@@ -123,7 +170,7 @@
 func (c *Client) sendOnce(req *http.Request) (resp *http.Response, connected bool, failed *Error) {
 	var tr connTrace
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: tr.gotConn})
-	req = req.Clone(ctx)
+	req = req.Clone(httpresponse.Trace(ctx))
 	preventReplay(req)
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
@@ -184,6 +231,9 @@
 // gotConn records the connection. It is the GotConn hook of httptrace.ClientTrace.
 func (t *connTrace) gotConn(info httptrace.GotConnInfo) {
 	conn := info.Conn
+	if checked, ok := conn.(*httpresponse.Conn); ok {
+		conn = checked.Conn
+	}
 	if wrapped, ok := conn.(*tls.Conn); ok {
 		conn = wrapped.NetConn()
 	}
--- a/pkg/httponce/client_test.go
+++ b/pkg/httponce/client_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/httpresponse"
 )
 
 // staleServer starts a server that responds to the first request of each connection, and closes the connection
@@ -144,7 +146,7 @@
 	client.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if dials++; dials == 1 && err == nil {
-			conn.(*writeCountingConn).seal()
+			conn.(*httpresponse.Conn).Conn.(*writeCountingConn).seal()
 		}
 		return conn, err
 	}
--- /dev/null
+++ b/pkg/httpresponse/head.go
@@ -0,0 +1,95 @@
+// Package httpresponse checks that what a server sends is a response as RFC 9110 and RFC 9112 define it, where net/http accepts
+// more: status codes outside of 100 to 599.
+package httpresponse
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrMalformed says that a server has sent something that is not an HTTP response.
+var ErrMalformed = errors.New("malformed response")
+
+// malformed returns an error that wraps ErrMalformed.
+func malformed(format string, args ...any) error { return errors.Wrapf(ErrMalformed, format, args...) }
+
+const (
+	// minStatus and maxStatus bound the status codes of RFC 9110, section 15.
+	minStatus, maxStatus = 100, 599
+	// statusEnd is the length of the part of a status line up to the status code, "HTTP/1.1 200".
+	statusEnd = 12
+)
+
+// headCheck checks the head of a response, and of the interim responses before it, line by line. It is not safe for
+// concurrent use.
+type headCheck struct {
+	// line is the beginning of a line whose end has not arrived.
+	line []byte
+	// inFields says that the status line has been read.
+	inFields bool
+	// status is the status code of the current head.
+	status int
+	// done says that the head of the final response is complete.
+	done bool
+	err  error
+}
+
+// add checks the bytes that follow. It ignores those after the head. Once it has returned an error it always does.
+func (h *headCheck) add(p []byte) error {
+	for len(p) > 0 && !h.done && h.err == nil {
+		part, rest, ended := bytes.Cut(p, []byte("\n"))
+		p = rest
+		if !ended || len(h.line) > 0 {
+			h.line = append(h.line, part...)
+			part = h.line
+		}
+		if ended {
+			h.err = h.checkLine(bytes.TrimSuffix(part, []byte("\r")))
+			h.line = h.line[:0]
+		}
+	}
+	return h.err
+}
+
+// checkLine checks a line, without its end.
+func (h *headCheck) checkLine(line []byte) error {
+	switch {
+	case !h.inFields:
+		return h.checkStatusLine(line)
+	case len(line) > 0:
+		return nil
+	}
+	h.done, h.inFields = h.status >= http.StatusOK, false
+	return nil
+}
+
+func (h *headCheck) checkStatusLine(line []byte) error {
+	if len(line) < statusEnd || string(line[:7]) != "HTTP/1." || !isDigit(line[7]) || line[8] != ' ' ||
+		len(line) > statusEnd && line[statusEnd] != ' ' || !isText(line) {
+		return malformed("status line %.80q", line)
+	}
+	h.status = 0
+	for _, digit := range line[9:statusEnd] {
+		if !isDigit(digit) {
+			return malformed("status line %.80q", line)
+		}
+		h.status = 10*h.status + int(digit-'0')
+	}
+	if h.status < minStatus || h.status > maxStatus {
+		return malformed("status code %03d", h.status)
+	}
+	if h.status == http.StatusSwitchingProtocols {
+		return malformed("protocols switched without a request for it")
+	}
+	h.inFields = true
+	return nil
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isText reports whether a text contains no control byte other than tabs.
+func isText(text []byte) bool {
+	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/mallowlink/mallowlink/pkg/httpresponse"
 )
 
 // conn is one connection to an endpoint.
 type conn struct {
-	net.Conn
+	*httpresponse.Conn
 	reader *bufio.Reader
 	// opened is when the connection was opened.
 	opened time.Time
@@ -44,6 +46,11 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.headBytesLeft = maxHeadBytes
 	defer func() { c.headBytesLeft = -1 }()
+	// Peek cannot fail for bytes that are buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.ExpectHead(buffered); err != nil {
+		return nil, errors.Wrap(err, "read head")
+	}
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.closeErr != nil && !ConnectionClosed(err) {
@@ -61,15 +68,13 @@
 }
 
 // interim reports whether a response with the status is followed by another one to the same request.
-func interim(status int) bool {
-	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
-}
+func interim(status int) bool { return status < http.StatusOK }
 
 // readBufferSize is the size of a connection's read buffer, in bytes. Most events and responses fit in it.
 const readBufferSize = 2 << 10
 
 func newConn(c net.Conn) *conn {
-	cn := &conn{Conn: c, opened: time.Now(), headBytesLeft: -1}
+	cn := &conn{Conn: httpresponse.NewConn(c), opened: time.Now(), headBytesLeft: -1}
 	cn.reader = bufio.NewReaderSize(cn, readBufferSize)
 	return cn
 }
@@ -113,11 +118,7 @@
 // noPendingInput reports whether nothing has arrived on the idle connection: neither bytes that belong to no
 // request nor the end of the connection.
 func (c *conn) noPendingInput() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := raw.SyscallConn()
+	rc, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/test/hostile/world_test.go
+++ b/test/hostile/world_test.go
@@ -86,7 +86,12 @@
 // startGateway starts a process with the stand-ins of a store and of one endpoint, and waits until it serves requests.
 func startGateway(t *testing.T) *gateway {
 	t.Helper()
-	store := standin.NewStore()
+	return startGatewayWith(t, standin.NewStore(), configuration())
+}
+
+// startGatewayWith is startGateway with a store that may have further endpoints, and with an operator's row.
+func startGatewayWith(t *testing.T, store *standin.Store, config map[string]any) *gateway {
+	t.Helper()
 	storeListener := listen(t)
 	server := &http.Server{Handler: store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(storeListener) }()
@@ -99,7 +104,7 @@
 		CrashText: "crash", OnCrash: (*standin.Endpoint).Crash,
 	}, endpointListener, endpointListener.Addr().String(), store, standin.NewAudit(), 1)
 	t.Cleanup(endpoint.Crash)
-	require.NoError(t, store.Put("op", "config", configuration()))
+	require.NoError(t, store.Put("op", "config", config))
 
 	first := freePorts(t, 4)
 	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", first+n) }
