Responses with malformed fields fail their endpoint

What callers saw: a response with a blank in the name of a field was passed on. With 'Content-Length : 3' its length was not seen and the body was not the server's; a folded line was joined to the field before, also one that states a length. An order to an engine counted as carried out, a health check as alive, and rows of the store were read from such responses.

Cause: net/textproto accepts blanks in names, keeps these fields under names that nobody looks up, and unfolds lines.

Change: in pkg/httpresponse names must be tokens and values free of control bytes, in interim responses too. Folded lines are errors, as RFC 9112, section 5.2, permits: they cannot be told from names that begin with a blank.

--- a/pkg/gateway/malformed_test.go
+++ b/pkg/gateway/malformed_test.go
@@ -35,7 +35,12 @@
 	"status 099":               "HTTP/1.1 099 X\r\nId: ID\r\nSignature: s\r\nContent-Length: 8\r\n\r\nraw body",
 	"status 600":               "HTTP/1.1 600 X\r\nId: ID\r\nSignature: s\r\nContent-Length: 8\r\n\r\nraw body",
 	"status 101":               "HTTP/1.1 101 X\r\nId: ID\r\nSignature: s\r\nContent-Length: 8\r\n\r\nraw body",
+	"blank in a name":          "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nRaw Name: x\r\nContent-Length: 8\r\n\r\nraw body",
 	"control byte in a name":   "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nRaw\x01Name: x\r\nContent-Length: 8\r\n\r\nraw body",
+	"blank before a colon":     "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length : 3\r\n\r\nraw body",
+	"folded line":              "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nRaw: x\r\n Content-Length: 3\r\n\r\nraw body",
+	"error with a blank":       "HTTP/1.1 500 X\r\nId: ID\r\nSignature: s\r\nRaw Name: x\r\nContent-Length: 8\r\n\r\nraw body",
+	"not run with a blank":     "HTTP/1.1 503 X\r\nId: ID\r\nNot-Run: 1\r\nRaw Name: x\r\nContent-Length: 8\r\n\r\nraw body",
 	"not run under status 000": "HTTP/1.1 000 X\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 8\r\n\r\nraw body",
 }
 
--- a/pkg/httponce/raw_test.go
+++ b/pkg/httponce/raw_test.go
@@ -73,6 +73,10 @@
 		"HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nX: a\r\n b: c\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 103 Early\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		status, body, err := fetch(t, rawServer(t, text, false, false), 1)
 		require.ErrorIs(t, err, httpresponse.ErrMalformed, "%q: %d %q", text, status, body)
--- a/pkg/httpresponse/head.go
+++ b/pkg/httpresponse/head.go
@@ -1,10 +1,11 @@
 // Package httpresponse checks that what a server sends is a response as RFC 9110 and RFC 9112 define it, where net/http accepts
-// more: status codes outside of 100 to 599.
+// more: status codes outside of 100 to 599, blanks in the names of fields, and folded lines.
 package httpresponse
 
 import (
 	"bytes"
 	"net/http"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -59,7 +60,7 @@
 	case !h.inFields:
 		return h.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return checkField(line)
 	}
 	h.done, h.inFields = h.status >= http.StatusOK, false
 	return nil
@@ -87,8 +88,29 @@
 	return nil
 }
 
+// checkField checks a field line. Folded lines are rejected as RFC 9112, section 5.2, permits, because they cannot be told from
+// names that begin with a blank.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) || !isText(value) {
+		return malformed("field line %.80q", line)
+	}
+	return nil
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
+// isToken reports whether a text is a token of RFC 9110, section 5.6.2.
+func isToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		b := text[i]
+		if !isDigit(b) && (b < 'a' || b > 'z') && (b < 'A' || b > 'Z') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // isText reports whether a text contains no control byte other than tabs.
 func isText(text []byte) bool {
 	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
