Responses that state their length twice fail their endpoint

What callers saw: responses with both Content-Length and chunks, with two equal lengths, and of HTTP/1.0 with chunks were passed on as sound; in the last, the chunk sizes reached the caller as a part of the body.

Cause: net/http lets chunks override a length, drops equal lengths but one, and ignores Transfer-Encoding before HTTP/1.1. RFC 9112 (6.1, 6.3) wants the first handled as an error, lets a recipient reject the second, and takes the framing of the third for faulty.

Change: pkg/httpresponse rejects all three.

--- a/pkg/httpresponse/head.go
+++ b/pkg/httpresponse/head.go
@@ -1,5 +1,5 @@
 // Package httpresponse checks that what a server sends is a response as RFC 9110 and RFC 9112 define it, where net/http accepts
-// more: status codes outside of 100 to 599, blanks in the names of fields, and folded lines.
+// more: status codes outside of 100 to 599, blanks in the names of fields, folded lines, and contradictory lengths.
 package httpresponse
 
 import (
@@ -30,8 +30,11 @@
 	line []byte
 	// inFields says that the status line has been read.
 	inFields bool
-	// status is the status code of the current head.
-	status int
+	// status is the status code of the current head, minorVersion the minor version of its protocol.
+	status       int
+	minorVersion byte
+	// hasLength and hasEncoding say that the current head states a length or a transfer coding of the body.
+	hasLength, hasEncoding bool
 	// done says that the head of the final response is complete.
 	done bool
 	err  error
@@ -60,10 +63,9 @@
 	case !h.inFields:
 		return h.checkStatusLine(line)
 	case len(line) > 0:
-		return checkField(line)
+		return h.checkField(line)
 	}
-	h.done, h.inFields = h.status >= http.StatusOK, false
-	return nil
+	return h.endHead()
 }
 
 func (h *headCheck) checkStatusLine(line []byte) error {
@@ -84,17 +86,39 @@
 	if h.status == http.StatusSwitchingProtocols {
 		return malformed("protocols switched without a request for it")
 	}
-	h.inFields = true
+	h.inFields, h.minorVersion = true, line[7]
 	return nil
 }
 
 // checkField checks a field line. Folded lines are rejected as RFC 9112, section 5.2, permits, because they cannot be told from
 // names that begin with a blank.
-func checkField(line []byte) error {
+func (h *headCheck) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isToken(name) || !isText(value) {
 		return malformed("field line %.80q", line)
 	}
+	switch {
+	case strings.EqualFold(string(name), "Content-Length"):
+		if h.hasLength {
+			return malformed("more than one Content-Length")
+		}
+		h.hasLength = true
+	case strings.EqualFold(string(name), "Transfer-Encoding"):
+		h.hasEncoding = true
+	}
+	return nil
+}
+
+// endHead checks a head at its end. The values of the fields that frame the body are left to net/http.
+func (h *headCheck) endHead() error {
+	switch {
+	case h.hasEncoding && h.hasLength:
+		return malformed("both Content-Length and Transfer-Encoding")
+	case h.hasEncoding && h.minorVersion == '0':
+		return malformed("Transfer-Encoding in HTTP/1.0")
+	}
+	h.done = h.status >= http.StatusOK
+	h.inFields, h.hasLength, h.hasEncoding = false, false, false
 	return nil
 }
 
--- a/pkg/httpresponse/head_test.go
+++ b/pkg/httpresponse/head_test.go
@@ -21,34 +21,37 @@
 	"HTTP/1.1 103 A\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200\r\nContent-Length: 1\r\n\r\n": true,
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nBad Name: x\r\n\r\n":             true,
 
-	"HTTP/1.1 000 X\r\n\r\n":                                  false,
-	"HTTP/1.1 099 X\r\n\r\n":                                  false,
-	"HTTP/1.1 101 X\r\n\r\n":                                  false,
-	"HTTP/1.1 600 X\r\n\r\n":                                  false,
-	"HTTP/1.1 1000 X\r\n\r\n":                                 false,
-	"HTTP/1.1 20 X\r\n\r\n":                                   false,
-	"HTTP/1.1 2x0 X\r\n\r\n":                                  false,
-	"HTTP/1.1 +20 X\r\n\r\n":                                  false,
-	"HTTP/1.1  200 X\r\n\r\n":                                 false,
-	"HTTP/1.1 200X\r\n\r\n":                                   false,
-	"HTTP/1.1\r\n\r\n":                                        false,
-	"HTTP/2.0 200 X\r\n\r\n":                                  false,
-	"HTTP/1.x 200 X\r\n\r\n":                                  false,
-	"http/1.1 200 X\r\n\r\n":                                  false,
-	"\r\nHTTP/1.1 200 X\r\n\r\n":                              false,
-	"HTTP/1.1 200 X\x7f\r\n\r\n":                              false,
-	"HTTP/1.1 200 X\r\r\n\r\n":                                false,
-	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n":                       false,
-	"HTTP/1.1 200 OK\r\nA\x01: c\r\n\r\n":                     false,
-	"HTTP/1.1 200 OK\r\nA\xe4: c\r\n\r\n":                     false,
-	"HTTP/1.1 200 OK\r\nA : c\r\n\r\n":                        false,
-	"HTTP/1.1 200 OK\r\n: c\r\n\r\n":                          false,
-	"HTTP/1.1 200 OK\r\nA\r\n\r\n":                            false,
-	"HTTP/1.1 200 OK\r\n A: b\r\n\r\n":                        false,
-	"HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\n\r\n":                  false,
-	"HTTP/1.1 200 OK\r\nA: b\x00\r\n\r\n":                     false,
-	"HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n":                      false,
-	"HTTP/1.1 103 A\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n": false,
+	"HTTP/1.1 000 X\r\n\r\n":                                            false,
+	"HTTP/1.1 099 X\r\n\r\n":                                            false,
+	"HTTP/1.1 101 X\r\n\r\n":                                            false,
+	"HTTP/1.1 600 X\r\n\r\n":                                            false,
+	"HTTP/1.1 1000 X\r\n\r\n":                                           false,
+	"HTTP/1.1 20 X\r\n\r\n":                                             false,
+	"HTTP/1.1 2x0 X\r\n\r\n":                                            false,
+	"HTTP/1.1 +20 X\r\n\r\n":                                            false,
+	"HTTP/1.1  200 X\r\n\r\n":                                           false,
+	"HTTP/1.1 200X\r\n\r\n":                                             false,
+	"HTTP/1.1\r\n\r\n":                                                  false,
+	"HTTP/2.0 200 X\r\n\r\n":                                            false,
+	"HTTP/1.x 200 X\r\n\r\n":                                            false,
+	"http/1.1 200 X\r\n\r\n":                                            false,
+	"\r\nHTTP/1.1 200 X\r\n\r\n":                                        false,
+	"HTTP/1.1 200 X\x7f\r\n\r\n":                                        false,
+	"HTTP/1.1 200 X\r\r\n\r\n":                                          false,
+	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n":                                 false,
+	"HTTP/1.1 200 OK\r\nA\x01: c\r\n\r\n":                               false,
+	"HTTP/1.1 200 OK\r\nA\xe4: c\r\n\r\n":                               false,
+	"HTTP/1.1 200 OK\r\nA : c\r\n\r\n":                                  false,
+	"HTTP/1.1 200 OK\r\n: c\r\n\r\n":                                    false,
+	"HTTP/1.1 200 OK\r\nA\r\n\r\n":                                      false,
+	"HTTP/1.1 200 OK\r\n A: b\r\n\r\n":                                  false,
+	"HTTP/1.1 200 OK\r\nA: b\r\n\tc\r\n\r\n":                            false,
+	"HTTP/1.1 200 OK\r\nA: b\x00\r\n\r\n":                               false,
+	"HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n":                                false,
+	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\ncontent-length: 1\r\n\r\n": false,
+	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\ntransfer-encoding: chunked\r\n\r\n": false,
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                      false,
+	"HTTP/1.1 103 A\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":                    false,
 }
 
 // The verdict on a head does not depend on how its bytes arrive.
@@ -70,7 +73,8 @@
 	}
 }
 
-// A head that has passed the check has, read by net/http, only field names that are tokens and a status in range.
+// A head that has passed the check has, read by net/http, only field names that are tokens, a status in range and the framing that it
+// states.
 func FuzzHeads(f *testing.F) {
 	for text := range heads {
 		f.Add(text)
