Trailers with names that are not tokens fail their response

What callers saw: a body in chunks whose trailer had a field 'Bad Name: x' was passed on as complete; the store's client read such rows.

Cause: net/textproto accepts blanks in names, here as in heads.

Trailers with a control byte, without a colon or without an end failed before.

--- a/pkg/httponce/client.go
+++ b/pkg/httponce/client.go
@@ -177,6 +177,7 @@
 		sent := tr.seal()
 		return nil, len(tr.conns) > 0, &Error{Sent: sent, Err: err}
 	}
+	resp.Body = httpresponse.Body(resp)
 	return resp, true, nil
 }
 
--- a/pkg/httponce/raw_test.go
+++ b/pkg/httponce/raw_test.go
@@ -80,6 +80,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
 		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBad Name: x\r\n\r\n",
 	} {
 		status, body, err := fetch(t, rawServer(t, text, false, false), 1)
 		require.ErrorIs(t, err, httpresponse.ErrMalformed, "%q: %d %q", text, status, body)
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -62,6 +62,7 @@
 			return nil, errors.Wrap(err, "read head")
 		}
 		if !interim(resp.StatusCode) {
+			resp.Body = httpresponse.Body(resp)
 			return resp, nil
 		}
 	}
