A reset while a request is being written ends no response in order

What was seen: pkg/httponce returned a part of a body without an error, as the whole, if the server answered a long upload at once, without a length, and reset the connection while the upload was being written. No caller can have got it: the path through owners takes a body without a stated end for a truncated one. The gateway's own client wrote the whole request before it read, and ended such requests as 502.

Cause: the kernel reports a reset once. If a write gets it, reads return what had arrived and then the end of the file. net/http writes and reads at the same time. A server that closes in order and then refuses the rest looks the same.

Change: httpresponse.Conn keeps the error of a write and returns it from the read that would have found the orderly end. Until the request has been written that read waits for it, a second at most.

A server that ends its side in order and reads on still ends its response (TestOrderlyEndDuringAWrite).

--- a/pkg/httponce/raw_test.go
+++ b/pkg/httponce/raw_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// uploadBytes is the size of an upload that does not fit into the buffers of the system.
+const uploadBytes = 16 << 20
+
+// Guards against taking a part of a response for the whole, if the connection is reset while the request is still being written:
+// the write may get the error, and the read the end of the connection.
+func TestResponsesCutDuringUploadsFail(t *testing.T) {
+	for _, framing := range []string{"", "Content-Length: 20\r\n"} {
+		for _, reset := range []bool{false, true} {
+			url := rawServer(t, "HTTP/1.1 200 OK\r\n"+framing+"\r\nbody", true, reset)
+			for range 20 {
+				_, body, err := fetch(t, url, uploadBytes)
+				require.Error(t, err, "reset %t, framing %q: %q", reset, framing, body)
+			}
+		}
+	}
+}
+
 // Responses over TLS are checked like others, and a connection whose server cannot be verified is not used.
 func TestResponsesOverTLS(t *testing.T) {
 	text := ""
--- a/pkg/httpresponse/conn.go
+++ b/pkg/httpresponse/conn.go
@@ -2,21 +2,42 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// Conn is a client's connection that fails at a response that is malformed. Begin must be called before each request. Reading
-// and writing may run at the same time, each in one goroutine.
+// uploadEndLimit is how long a request may still be written after the server has ended its side of the connection, until it is
+// clear whether the connection ends in order.
+const uploadEndLimit = time.Second
+
+// errUploadCut says that a server has ended its side of the connection and does not read the rest of the request either.
+var errUploadCut = errors.Wrap(io.ErrUnexpectedEOF, "connection ended while the request was being written")
+
+// Conn is a client's connection that fails at a response that is malformed or was broken off. Reading and writing may run at the
+// same time, each in one goroutine. Begin must be called before each request, and EndRequest once it has been written.
+//
+// The kernel reports a reset only once, to a read or to a write. If a write gets it, reads return the bytes that had arrived
+// before and then io.EOF, as at an orderly end. Conn reports it at that place instead.
 type Conn struct {
 	net.Conn
 
-	mu   sync.Mutex
-	head headCheck // guarded by mu
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	head headCheck
+	// written is closed when the current request has been written; nil before the first one.
+	written chan struct{}
+	// writing is closed when the write in progress has ended; nil before the first one.
+	writing chan struct{}
+	// writeErr is the first error of a write.
+	writeErr error
 }
 
 // NewConn returns a Conn for a new connection.
@@ -26,9 +47,30 @@
 func (c *Conn) Begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endRequest()
+	c.written = make(chan struct{})
 	c.head = headCheck{line: c.head.line[:0]}
 }
 
+// EndRequest says that the request has been written or given up.
+func (c *Conn) EndRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endRequest()
+}
+
+// endRequest closes c.written. c.mu is held.
+func (c *Conn) endRequest() {
+	if c.written == nil {
+		return
+	}
+	select {
+	case <-c.written:
+	default:
+		close(c.written)
+	}
+}
+
 // ExpectHead expects the head of another response to the same request, of which the bytes in buffered have been read already.
 // The error wraps ErrMalformed.
 func (c *Conn) ExpectHead(buffered []byte) error {
@@ -38,16 +80,26 @@
 	return c.head.add(buffered)
 }
 
-// Trace returns a context with which net/http calls Begin on the Conn that it has chosen for a request.
+// Trace returns a context with which net/http calls Begin and EndRequest on the Conn that it has chosen for a request.
 func Trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.Begin()
-		}
-	}})
+	var chosen atomic.Pointer[Conn]
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.Begin()
+				chosen.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := chosen.Load(); c != nil {
+				c.EndRequest()
+			}
+		},
+	})
 }
 
-// Read implements net.Conn. Its errors wrap ErrMalformed if the bytes are not the head of a response.
+// Read implements net.Conn. Its errors wrap ErrMalformed if the bytes are not the head of a response. It returns io.EOF only
+// if the connection has ended in order.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -56,9 +108,72 @@
 	if headErr != nil {
 		return 0, headErr
 	}
+	if err == io.EOF {
+		err = c.endOfInput()
+	}
 	return n, err
 }
 
+// endOfInput returns io.EOF, or why the end of the input is not an orderly one. It waits until the request has been written.
+func (c *Conn) endOfInput() error {
+	limit := time.NewTimer(uploadEndLimit)
+	defer limit.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// net/http reports the end of a request before it writes the last part.
+	if !c.await(c.written, limit) || !c.await(c.writing, limit) {
+		return errUploadCut
+	}
+	if c.writeErr != nil {
+		return c.writeErr
+	}
+	return io.EOF
+}
+
+// await waits until a channel is closed, unless it is nil, and reports false if limit is over before. c.mu is held, but not
+// while await waits.
+func (c *Conn) await(ended chan struct{}, limit *time.Timer) bool {
+	if ended == nil {
+		return true
+	}
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	select {
+	case <-ended:
+		return true
+	case <-limit.C:
+		return false
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	ended := c.beginWrite()
+	defer close(ended)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// beginWrite returns a channel that is to be closed at the end of a write.
+func (c *Conn) beginWrite() chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = make(chan struct{})
+	return c.writing
+}
+
+// WriteFailed reports whether the server has not received all that was written.
+func (c *Conn) WriteFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeErr != nil
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	raw, ok := c.Conn.(syscall.Conn)
--- a/pkg/httpresponse/conn_test.go
+++ b/pkg/httpresponse/conn_test.go
@@ -3,11 +3,16 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// uploadBytes is the size of a request that does not fit into the buffers of the system.
+const uploadBytes = 16 << 20
+
 // pair returns a connection on which a request is expected, and the server's end of it.
 func pair(t *testing.T) (*Conn, *net.TCPConn) {
 	t.Helper()
@@ -27,11 +32,75 @@
 	return c, far.(*net.TCPConn)
 }
 
+// upload writes a long request. The result is closed when that has ended.
+func upload(c *Conn) chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer c.EndRequest()
+		for range uploadBytes >> 20 {
+			if _, err := c.Write(make([]byte, 1<<20)); err != nil {
+				return
+			}
+		}
+	}()
+	return ended
+}
+
+const unframed = "HTTP/1.1 200 OK\r\n\r\nbody"
+
+// Guards against taking a reset, of which only the write learns, for the orderly end of a response.
+func TestResetDuringAWriteIsReadAfterTheResponse(t *testing.T) {
+	for range 20 {
+		c, server := pair(t)
+		written := upload(c)
+		_, err := io.ReadFull(server, make([]byte, 1000))
+		require.NoError(t, err)
+		_, err = io.WriteString(server, unframed)
+		require.NoError(t, err)
+		time.Sleep(time.Millisecond)
+		require.NoError(t, server.SetLinger(0))
+		require.NoError(t, server.Close())
+		data, err := io.ReadAll(c)
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		require.Equal(t, unframed, string(data))
+		<-written
+		require.True(t, c.WriteFailed())
+	}
+}
+
+// A server may end its side in order before it has read the whole request.
+func TestOrderlyEndDuringAWrite(t *testing.T) {
+	c, server := pair(t)
+	written := upload(c)
+	_, err := io.WriteString(server, unframed)
+	require.NoError(t, err)
+	require.NoError(t, server.CloseWrite())
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+	data, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, unframed, string(data))
+	<-written
+	require.False(t, c.WriteFailed())
+}
+
+// A server that ends its side and does not read the rest of the request either has broken off the exchange.
+func TestEndDuringAWriteThatIsNotRead(t *testing.T) {
+	c, server := pair(t)
+	go func() { _, _ = c.Write(make([]byte, uploadBytes)) }()
+	_, err := io.WriteString(server, unframed)
+	require.NoError(t, err)
+	require.NoError(t, server.CloseWrite())
+	_, err = io.ReadAll(c)
+	require.ErrorIs(t, err, errUploadCut)
+}
+
 // The response to each request on a connection is checked.
 func TestEachResponseOnAConnectionIsChecked(t *testing.T) {
 	c, server := pair(t)
 	exchange := func(text string) error {
 		c.Begin()
+		defer c.EndRequest()
 		_, err := io.WriteString(server, text)
 		require.NoError(t, err)
 		_, err = io.ReadFull(c, make([]byte, len(text)))
--- a/pkg/httpresponse/head.go
+++ b/pkg/httpresponse/head.go
@@ -1,5 +1,6 @@
 // Package httpresponse checks that what a server sends is a response as RFC 9110 and RFC 9112 define it, where net/http accepts
-// more: status codes outside of 100 to 599, blanks in the names of fields, folded lines, and contradictory lengths.
+// more: status codes outside of 100 to 599, blanks in the names of fields, folded lines, contradictory lengths, and a
+// connection that is reset while the request is still being written.
 package httpresponse
 
 import (
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -144,7 +144,10 @@
 func (c *Client) exchange(ctx context.Context, target Target, cn *conn, req Request) (*Response, error) {
 	a := &Response{client: c, target: target, conn: cn, sent: time.Now()}
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	if err := writeRequest(cn, req); err != nil {
+	cn.Begin()
+	err := writeRequest(cn, req)
+	cn.EndRequest()
+	if err != nil {
 		c.reportClosed(ctx, a, err)
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
--- a/test/hostile/responses_test.go
+++ b/test/hostile/responses_test.go
@@ -1,6 +1,7 @@
 package hostile
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -124,3 +125,23 @@
 	require.NoError(t, w.gateway.ordinary("after"))
 	require.True(t, w.gateway.alive())
 }
+
+// A response that breaks off during a long upload does not reach the caller.
+func TestResponsesDuringLongUploads(t *testing.T) {
+	head := standin.RawHead("413 Content Too Large")
+	part := standin.RawHead("200 OK") + "\r\n" + standin.RawBody
+	w := startRawWorld(t, map[string]standin.RawReply{
+		"part, close":         {Text: part, Early: true},
+		"part, reset":         {Text: part, Early: true, Reset: true},
+		"refusal that is cut": {Text: head + "Content-Length: 20\r\n\r\n" + standin.RawBody, Early: true, Reset: true},
+	})
+	upload := bytes.Repeat([]byte("u"), bodyBytes)
+	for i, class := range routeClasses {
+		for name := range w.servers {
+			id := fmt.Sprintf("%s%d", strings.Trim(w.prefixes[name], "/"), i)
+			w.requireFailure(name, class, id, upload)
+		}
+	}
+	require.NoError(t, w.gateway.ordinary("after"))
+	require.True(t, w.gateway.alive())
+}
