An early response to a long upload reaches the caller whole

What callers saw: an endpoint that refused a long upload before it had read it, 413 with a length, and then closed or reset the connection gave the caller 502, may-have-run; if it kept the connection open without reading on, the caller waited for its whole time limit and got 504.

Cause: pkg/upstream read the response only once the whole request had been written, and gave up if that failed. net/http, in the path through owners, reads meanwhile, but prefers the error of the write to a response.

Change: requests over 16 KB are written by a goroutine of their own while the response is read. httpresponse.Conn drops what follows in a request whose write has failed within it, and reports that where the input ends. A connection on which a request was not written to its end is not used again.

--- a/pkg/httponce/raw_test.go
+++ b/pkg/httponce/raw_test.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// A server may refuse a long upload before it has read it. Such a response with a length is read whole.
+func TestEarlyResponsesAreReadWhole(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		url := rawServer(t, "HTTP/1.1 413 X\r\nContent-Length: 7\r\n\r\nrefused", true, reset)
+		for range 20 {
+			status, body, err := fetch(t, url, uploadBytes)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusRequestEntityTooLarge, status)
+			require.Equal(t, "refused", body)
+		}
+	}
+}
+
 // Responses over TLS are checked like others, and a connection whose server cannot be verified is not used.
 func TestResponsesOverTLS(t *testing.T) {
 	text := ""
--- a/pkg/httpresponse/conn.go
+++ b/pkg/httpresponse/conn.go
@@ -24,7 +24,8 @@
 // same time, each in one goroutine. Begin must be called before each request, and EndRequest once it has been written.
 //
 // The kernel reports a reset only once, to a read or to a write. If a write gets it, reads return the bytes that had arrived
-// before and then io.EOF, as at an orderly end. Conn reports it at that place instead.
+// before and then io.EOF, as at an orderly end. Conn reports it at that place instead. A write that fails within a request
+// is therefore no failure yet: the server may have responded before it has read the request.
 type Conn struct {
 	net.Conn
 
@@ -32,6 +33,8 @@
 	// The fields below are guarded by mu.
 
 	head headCheck
+	// begun says that a part of the current request has been written.
+	begun bool
 	// written is closed when the current request has been written; nil before the first one.
 	written chan struct{}
 	// writing is closed when the write in progress has ended; nil before the first one.
@@ -48,7 +51,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endRequest()
-	c.written = make(chan struct{})
+	c.begun, c.written = false, make(chan struct{})
 	c.head = headCheck{line: c.head.line[:0]}
 }
 
@@ -146,25 +149,37 @@
 	}
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. If the server closes or resets the connection when it has received a part of a request, Write
+// drops the rest and returns no error: Read returns it after what the server had sent before.
 func (c *Conn) Write(p []byte) (int, error) {
-	ended := c.beginWrite()
+	ended, drop := c.beginWrite()
+	if drop {
+		return len(p), nil
+	}
 	defer close(ended)
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun = c.begun || n > 0
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
+	if c.begun && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		return len(p), nil
+	}
 	return n, err
 }
 
-// beginWrite returns a channel that is to be closed at the end of a write.
-func (c *Conn) beginWrite() chan struct{} {
+// beginWrite returns a channel that is to be closed at the end of a write. drop says that the server does not receive the rest
+// of the request.
+func (c *Conn) beginWrite() (ended chan struct{}, drop bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.begun && c.writeErr != nil {
+		return nil, true
+	}
 	c.writing = make(chan struct{})
-	return c.writing
+	return c.writing, false
 }
 
 // WriteFailed reports whether the server has not received all that was written.
--- a/pkg/httpresponse/conn_test.go
+++ b/pkg/httpresponse/conn_test.go
@@ -32,14 +32,16 @@
 	return c, far.(*net.TCPConn)
 }
 
-// upload writes a long request. The result is closed when that has ended.
-func upload(c *Conn) chan struct{} {
+// upload writes a long request. The result is closed when that has ended without an error.
+func upload(t *testing.T, c *Conn) chan struct{} {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		defer c.EndRequest()
 		for range uploadBytes >> 20 {
-			if _, err := c.Write(make([]byte, 1<<20)); err != nil {
+			n, err := c.Write(make([]byte, 1<<20))
+			if err != nil || n != 1<<20 {
+				t.Errorf("write: %d, %v", n, err)
 				return
 			}
 		}
@@ -53,7 +55,7 @@
 func TestResetDuringAWriteIsReadAfterTheResponse(t *testing.T) {
 	for range 20 {
 		c, server := pair(t)
-		written := upload(c)
+		written := upload(t, c)
 		_, err := io.ReadFull(server, make([]byte, 1000))
 		require.NoError(t, err)
 		_, err = io.WriteString(server, unframed)
@@ -72,7 +74,7 @@
 // A server may end its side in order before it has read the whole request.
 func TestOrderlyEndDuringAWrite(t *testing.T) {
 	c, server := pair(t)
-	written := upload(c)
+	written := upload(t, c)
 	_, err := io.WriteString(server, unframed)
 	require.NoError(t, err)
 	require.NoError(t, server.CloseWrite())
@@ -95,6 +97,17 @@
 	require.ErrorIs(t, err, errUploadCut)
 }
 
+// A write of which the server has received nothing fails at once: no response to it can come.
+func TestWriteThatSendsNothingFails(t *testing.T) {
+	c, server := pair(t)
+	require.NoError(t, server.SetLinger(0))
+	require.NoError(t, server.Close())
+	_, err := c.Conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	_, err = c.Write([]byte("x"))
+	require.ErrorIs(t, err, syscall.EPIPE)
+}
+
 // The response to each request on a connection is checked.
 func TestEachResponseOnAConnectionIsChecked(t *testing.T) {
 	c, server := pair(t)
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -144,10 +144,7 @@
 func (c *Client) exchange(ctx context.Context, target Target, cn *conn, req Request) (*Response, error) {
 	a := &Response{client: c, target: target, conn: cn, sent: time.Now()}
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	cn.Begin()
-	err := writeRequest(cn, req)
-	cn.EndRequest()
-	if err != nil {
+	if err := a.writeRequest(req); err != nil {
 		c.reportClosed(ctx, a, err)
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
@@ -186,11 +183,39 @@
 // buffers holds reusable buffers for outgoing requests.
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// writeRequest writes the whole request with a single call of Write.
-func writeRequest(w io.Writer, req Request) error {
+// maxBlockingBody bounds the body of a request that is written before the response is read, in bytes. It fits into the
+// buffers of the system, so that an endpoint that does not read it cannot block the write.
+const maxBlockingBody = 16 << 10
+
+// writeRequest writes the request. It goes on in a goroutine of its own with one that is long, because the endpoint may respond
+// before it has read that, and read no further.
+func (a *Response) writeRequest(req Request) error {
+	a.conn.Begin()
 	buf := buffers.Get().(*bytes.Buffer)
-	defer buffers.Put(buf)
 	buf.Reset()
+	appendRequest(buf, req)
+	write := func() error {
+		defer a.conn.EndRequest()
+		defer buffers.Put(buf)
+		_, err := a.conn.Write(buf.Bytes())
+		return err
+	}
+	if len(req.Body) <= maxBlockingBody {
+		return write()
+	}
+	a.written = make(chan struct{})
+	go func() {
+		defer close(a.written)
+		if err := write(); err != nil && !ConnectionClosed(err) {
+			// Ends the reading, for which the connection is still open.
+			_ = a.conn.Close()
+		}
+	}()
+	return nil
+}
+
+// appendRequest appends the whole request to buf.
+func appendRequest(buf *bytes.Buffer, req Request) {
 	buf.WriteString(req.Method)
 	buf.WriteByte(' ')
 	buf.WriteString(req.URI)
@@ -212,8 +237,6 @@
 	}
 	buf.WriteString("\r\n")
 	buf.Write(req.Body)
-	_, err := w.Write(buf.Bytes())
-	return err
 }
 
 // Response is an endpoint's response, of which the body is read with Read. It is not safe for concurrent use.
@@ -232,7 +255,9 @@
 	// stopWatch stops closing the connection when the request's context ends. It reports false if the connection
 	// is being closed already.
 	stopWatch func() bool
-	resp      *http.Response
+	// written is closed when the writing of a long request has ended; nil if the request was written before the response was read.
+	written chan struct{}
+	resp    *http.Response
 	// bodyRead is the number of bytes of the body that have been read.
 	bodyRead int64
 	// complete says that the body has been read to its end.
@@ -330,7 +355,7 @@
 // read to its end and the endpoint keeps the connection open too, and is closed otherwise.
 func (a *Response) Close() {
 	if !a.stopWatch() || a.interrupted.Load() || !a.reusable() {
-		_ = a.conn.Close()
+		a.closeConn()
 		return
 	}
 	now := time.Now()
@@ -344,11 +369,31 @@
 // reusable reports whether the connection is in a state to carry another request: the response has been read to
 // a stated end, the endpoint keeps the connection open, and no further bytes have arrived.
 func (a *Response) reusable() bool {
-	return a.complete && a.Framed() && !a.resp.Close && !a.Info.Closes && a.conn.reader.Buffered() == 0
+	return a.complete && a.Framed() && !a.resp.Close && !a.Info.Closes && a.conn.reader.Buffered() == 0 && a.requestWritten()
+}
+
+// requestWritten reports whether the endpoint's system has received the whole request.
+func (a *Response) requestWritten() bool {
+	if a.written != nil {
+		select {
+		case <-a.written:
+		default:
+			return false
+		}
+	}
+	return !a.conn.WriteFailed()
 }
 
 // abandon closes the connection of a request that has failed.
 func (a *Response) abandon() {
 	a.stopWatch()
+	a.closeConn()
+}
+
+// closeConn closes the connection. The body of the request is not used any more afterwards.
+func (a *Response) closeConn() {
 	_ = a.conn.Close()
+	if a.written != nil {
+		<-a.written
+	}
 }
--- a/test/hostile/responses_test.go
+++ b/test/hostile/responses_test.go
@@ -126,11 +126,16 @@
 	require.True(t, w.gateway.alive())
 }
 
-// A response that breaks off during a long upload does not reach the caller.
+// An endpoint may refuse a long upload before it has read it, and gets its refusal through whole. A response that breaks off
+// meanwhile does not reach the caller.
 func TestResponsesDuringLongUploads(t *testing.T) {
 	head := standin.RawHead("413 Content Too Large")
+	refusal := head + "Content-Length: 7\r\n\r\nrefused"
 	part := standin.RawHead("200 OK") + "\r\n" + standin.RawBody
 	w := startRawWorld(t, map[string]standin.RawReply{
+		"refusal, close":      {Text: refusal, Early: true},
+		"refusal, reset":      {Text: refusal, Early: true, Reset: true},
+		"refusal, open":       {Text: refusal, Early: true, Open: true},
 		"part, close":         {Text: part, Early: true},
 		"part, reset":         {Text: part, Early: true, Reset: true},
 		"refusal that is cut": {Text: head + "Content-Length: 20\r\n\r\n" + standin.RawBody, Early: true, Reset: true},
@@ -139,7 +144,13 @@
 	for i, class := range routeClasses {
 		for name := range w.servers {
 			id := fmt.Sprintf("%s%d", strings.Trim(w.prefixes[name], "/"), i)
-			w.requireFailure(name, class, id, upload)
+			if !strings.HasPrefix(name, "refusal, ") {
+				w.requireFailure(name, class, id, upload)
+				continue
+			}
+			resp, text := w.send(name, class, id, upload)
+			require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode, "%s, %s: %s", name, class, text)
+			require.Equal(t, "refused", text, "%s, %s", name, class)
 		}
 	}
 	require.NoError(t, w.gateway.ordinary("after"))
