Refusals that break off do not say that a request has not run

What was seen: in the path through owners, a 503 with the code 'busy' whose body broke off after the code counted as the service's word that the request had not run, and a 404 with 'not loaded' likewise.

Cause: Service.readFailure decoded what had arrived of the body and ignored the error of reading it.

Change: a body that breaks off has no code; the response fails where its body is read. An engine's 503 keeps its meaning, which the status alone states.

--- a/pkg/endpoint/rest/service.go
+++ b/pkg/endpoint/rest/service.go
@@ -182,12 +182,14 @@
 }
 
 // readFailure wraps an error response, whose body can still be read from the start, and returns the
-// detail of its wire.Failure. The detail is empty if the body has another form.
+// detail of its wire.Failure. The detail is empty if the body has another form or breaks off.
 func (s *Service) readFailure(resp *http.Response) (endpoint.Response, wire.FailureDetail) {
-	head, _ := io.ReadAll(io.LimitReader(resp.Body, maxFailureBody))
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBody))
 	var failure wire.Failure
-	// A body of another form has no code, so that the error does not matter.
-	_ = json.Unmarshal(head, &failure)
+	if err == nil {
+		// A body of another form has no code, so that the error does not matter.
+		_ = json.Unmarshal(head, &failure)
+	}
 	resp.Body = replayedBody{Reader: io.MultiReader(bytes.NewReader(head), resp.Body), Closer: resp.Body}
 	return s.newResponse(resp, false, 0), failure.Error
 }
--- a/pkg/endpoint/rest/service_test.go
+++ b/pkg/endpoint/rest/service_test.go
@@ -231,3 +231,22 @@
 		}
 	}
 }
+
+// A refusal that breaks off does not say that the request has not run, even if its code has arrived.
+func TestRefusalThatBreaksOffIsNone(t *testing.T) {
+	for status, code := range map[int]wire.Code{503: wire.CodeBusy, 404: wire.CodeNotLoaded} {
+		text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: 100\r\n\r\n"+`{"error":{"message":"m","code":%q}}`, status, code)
+		clients := []endpoint.Service{NewService(serve(t, raw(text)), Options{})}
+		if status == http.StatusNotFound {
+			clients = append(clients, NewEngine(serve(t, raw(text)), Options{}))
+		}
+		for _, client := range clients {
+			response, err := client.Do(t.Context(), post(false))
+			require.NoError(t, err)
+			require.Equal(t, status, response.Status())
+			_, err = collect(response)
+			require.ErrorIs(t, err, endpoint.ErrTruncated)
+			response.Close()
+		}
+	}
+}
