--- a/pkg/httpresponse/head.go
+++ b/pkg/httpresponse/head.go
@@ -91,7 +91,7 @@
 	return nil
 }
 
-// checkField checks a field line. Folded lines are rejected as RFC 9112, section 5.2, permits, because they cannot be told from
+// checkField checks a field line. Folded lines are rejected as RFC 9112, section 5.2, permits, because they are indistinguishable from
 // names that begin with a blank.
 func (h *headCheck) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
