orders: a test requests its adapters while an order is on its way

The test requests 'rare', then 'often' twice, while the worker is idle: each request wakes it, and it may choose 'rare' before the others have been requested.

Change: the requests are made 1 ms after the first order has been sent, which takes 2 ms in the test's time, so that the worker chooses when all are known. Checks and bounds are the same.

--- a/pkg/orders/evacuation_test.go
+++ b/pkg/orders/evacuation_test.go
@@ -153,7 +153,8 @@
 			time.Sleep(time.Second)
 			wanted := f.newArgs("wanted")
 			go func() { f.acquire(wanted) }()
-			time.Sleep(10 * time.Millisecond)
+			// The order for "wanted" is on its way, so that the other adapters are all known when the next one is chosen.
+			time.Sleep(time.Millisecond)
 			for _, name := range []string{"rare", "often", "often"} {
 				args := f.newArgs(name)
 				args.Prefetch, args.Moving = true, moving
