--- a/review/lab-3/testdata/lab/main.go
+++ b/review/lab-3/testdata/lab/main.go
@@ -39,6 +39,7 @@
 var cases = map[string]func(w *world, trouble bool) int{
 	"handover": playHandover,
 	"parts":    playParts,
+	"silent":   playSilent,
 	"versions": playVersions,
 }
 
