Streams that are taken up keep to the software version that began them

Reported by others: so also through a VM that is out of step while a new version joins. Cause: nothing read Resumes; the version of a stream was known to the VM that served it only. Change: pkg/dispatch/software. A stream begins at the version of its id by tables in the fleet's table; the tables decide a take-up only by copies younger than the bound on updates, and are begun by only once all copies without them are older. Else the VM's own memory and that of three homes of the stream decide, else the request is refused at once (3007, not run). The version of the endpoint is checked at the send and at the head. A group with one version has no row, no call, no delay. The test that a stream without an event may begin at another version sets the versions of both attempts: they follow from the id now.

--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -32,6 +32,8 @@
 	Prompt []PromptPart
 	// LastEvent is the number of the last event that the caller received of a stream that it wants to resume.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of that stream.
+	Resumes string
 }
 
 // Tokens returns the size of the request: the prompt's length plus the upper bound of the response's length.
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -163,7 +164,7 @@
 	if req.Continues {
 		outside, leaving = ofSoftware(outside, req), ofSoftware(leaving, req)
 		if len(outside)+len(leaving) == 0 {
-			return gateway.Placement{}, result.New(result.NoEndpoint, "no endpoint of the software version that began the stream is listed")
+			return gateway.Placement{}, result.New(result.NoEndpoint, "no endpoint of the software version of the stream is listed")
 		}
 	}
 	candidates := d.cfg.Limits.Unblocked(d.health.candidates(outside, req.Exclude, now), now)
@@ -183,6 +184,9 @@
 
 // ofSoftware returns the endpoints whose software version may serve the request.
 func ofSoftware(list []roster.Endpoint, req gateway.Request) []roster.Endpoint {
+	if !slices.ContainsFunc(list, func(e roster.Endpoint) bool { return !req.MayGoTo(e.Software) }) {
+		return list
+	}
 	var matching []roster.Endpoint
 	for _, e := range list {
 		if req.MayGoTo(e.Software) {
--- /dev/null
+++ b/pkg/dispatch/software/keeper.go
@@ -0,0 +1,608 @@
+package software
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/mallowlink/mallowlink/pkg/clock"
+	"github.com/mallowlink/mallowlink/pkg/membership"
+	"github.com/mallowlink/mallowlink/pkg/peer"
+	"github.com/mallowlink/mallowlink/pkg/platform"
+	"github.com/mallowlink/mallowlink/pkg/roster"
+)
+
+const (
+	// rowPrefix is followed by the name of a group.
+	rowPrefix = "software/"
+	// tick is the time between two checks of what is to be read, written or sent.
+	tick = 50 * time.Millisecond
+	// steadyReadInterval is the time between two reads of the rows while a group has several versions and nothing changes.
+	steadyReadInterval = time.Second
+	// startRead is how long a VM that starts waits for a listing of the fleet's table before it reads the rows for itself, and
+	// startWait how long a request waits for that.
+	startRead = 150 * time.Millisecond
+	startWait = 300 * time.Millisecond
+	// commitTimeout bounds the write of a row.
+	commitTimeout = 2 * time.Second
+	// otherWriterDelay, plus as much at most by chance, is after how long other VMs than the first one write a row that is due.
+	otherWriterDelay = 1500 * time.Millisecond
+	// lostRowDelay is the same, by chance from 0, for what the store has lost.
+	lostRowDelay = 300 * time.Millisecond
+	sweepPeriod  = time.Second
+	// defaultRetryAfter is for streams of which nothing more will be known.
+	defaultRetryAfter = time.Second
+)
+
+// Sources of decisions, in logs. Decisions by another VM's memory name that VM.
+const (
+	SourceMemory = "memory"
+	SourceTable  = "tables"
+	SourceSole   = "only-version"
+)
+
+// Decision is the software version at which a stream begins or goes on.
+type Decision struct {
+	Version string
+	// Source says by what it was decided, and Age how old that is.
+	Source string
+	Age    time.Duration
+}
+
+// Unknown is the error for a stream whose version cannot be decided.
+type Unknown struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (u *Unknown) Error() string { return u.Reason }
+
+// Rows is the fleet's table. platform.Table implements it.
+type Rows interface {
+	List(ctx context.Context, prefix string) ([]platform.Row, error)
+	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
+	Generation() uint64
+}
+
+// Config holds the dependencies and settings of a Keeper.
+type Config struct {
+	// Self is the ID of this VM.
+	Self string
+	Rows Rows
+	// Listed returns the rows as last listed for other purposes, when that call was sent, and the generation of the table; a zero time
+	// if they have not been listed. It makes no call.
+	Listed func(prefix string) (rows []platform.Row, sent time.Time, generation uint64)
+	// WritesFirst reports whether this VM writes rows before the others do.
+	WritesFirst func() bool
+	// Settled reports whether a generation of the table has settled, so that what it had lost is written again.
+	Settled func(generation uint64) bool
+	// FirstStart reports that no VM of the deployment had run when this one started.
+	FirstStart func() bool
+	// Life returns how long a resumable stream of a group may be taken up, false if the group has none.
+	Life       func(group string) (time.Duration, bool)
+	Members    func() []membership.Member
+	PeerClient peer.Client
+	Timing     Timing
+	// ReadInterval is the time between two reads of the rows while versions change, ReadTimeout bounds a read.
+	ReadInterval, ReadTimeout time.Duration
+	Log                       logrus.FieldLogger
+}
+
+// Keeper knows the software versions of streams at one VM. It is safe for concurrent use.
+type Keeper struct {
+	cfg Config
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+
+	groups   map[string]*group
+	software map[string]string // of the listed endpoints, by ID
+	memory   *memory
+	// readSent is when the last read that was applied was sent, readTried when this VM last tried to read for itself; reading is
+	// closed when the read under way has ended, nil without one.
+	readSent, readTried time.Time
+	reading             chan struct{}
+	// generation is that of the store, as last seen in a list or a read; heldUntil is the time before which nothing that the
+	// store says is valid, because it has returned from an older copy.
+	generation uint64
+	hasSeen    bool
+	heldUntil  time.Time
+	listedAt   time.Time // when the first list was applied
+	due        map[string]time.Time
+	// writing says that rows are being written.
+	writing bool
+	// unsent are the streams whose homes may need a record, told is the state of the groups when the others were last looked at.
+	unsent []Key
+	told   map[string]groupStage
+	// malformed are the versions of rows that cannot be read, by group.
+	malformed map[string]uint64
+}
+
+// groupStage is what decides whether the homes of a group's streams need records.
+type groupStage struct {
+	tables   int
+	newest   string
+	outdated bool
+	changing bool
+}
+
+// NewKeeper returns a Keeper that knows nothing yet.
+func NewKeeper(cfg Config) *Keeper {
+	return &Keeper{
+		cfg: cfg, groups: map[string]*group{}, software: map[string]string{}, memory: newMemory(), due: map[string]time.Time{},
+		told: map[string]groupStage{}, malformed: map[string]uint64{},
+	}
+}
+
+// group returns what is known of a group. k.mu is held.
+func (k *Keeper) group(name string) *group {
+	g := k.groups[name]
+	if g == nil {
+		g = newGroup(k.cfg.Timing)
+		if k.hasRead() {
+			g.known, g.unproven = k.readSent, k.heldUntil
+		}
+		g.fresh = k.cfg.FirstStart()
+		k.groups[name] = g
+	}
+	return g
+}
+
+// hasRead reports whether the rows have been read. k.mu is held.
+func (k *Keeper) hasRead() bool { return !k.readSent.IsZero() }
+
+// enter records the generation of the store. It returns true if the store has returned from an older copy. k.mu is held.
+func (k *Keeper) enter(generation uint64, now time.Time) bool {
+	first, returned := !k.hasSeen, k.hasSeen && generation > k.generation
+	if first && generation > 0 && !k.cfg.Settled(generation) {
+		k.heldUntil = now.Add(k.cfg.Timing.Hold)
+	}
+	if returned {
+		k.heldUntil = now.Add(k.cfg.Timing.Hold)
+		k.cfg.Log.WithFields(logrus.Fields{"event": "software_held", "generation": generation, "held_for": k.cfg.Timing.Hold}).
+			Warn("the store has returned from an older copy; its rows of software versions are not valid yet")
+	}
+	if first || returned {
+		k.generation, k.hasSeen = generation, true
+	}
+	return returned
+}
+
+// List applies a list of endpoints, read at a position of its table, that was current at the time confirmed.
+func (k *Keeper) List(list []roster.Endpoint, position uint64, confirmed time.Time) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listedAt.IsZero() {
+		k.listedAt = now
+	}
+	k.enter(platform.GenerationOf(position), now)
+	clear(k.software)
+	byGroup := map[string][]roster.Endpoint{}
+	for _, e := range list {
+		byGroup[e.Group] = append(byGroup[e.Group], e)
+		k.software[e.ID] = e.Software
+	}
+	for name := range byGroup {
+		k.group(name)
+	}
+	for name, g := range k.groups {
+		g.list(byGroup[name], k.validAt(confirmed, now), now)
+		if _, relevant := k.cfg.Life(name); !relevant && g.row == nil && g.newcomers() > 0 {
+			// No stream of the group can be taken up.
+			g.hasSole = false
+			g.findSole()
+		}
+	}
+}
+
+// Confirm records that the list as last applied was current at a time.
+func (k *Keeper) Confirm(confirmed time.Time) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, g := range k.groups {
+		g.confirmList(k.validAt(confirmed, now))
+	}
+}
+
+// validAt returns the time up to which what the store says is valid, if it was current at a time: not while it may have lost
+// rows. k.mu is held.
+func (k *Keeper) validAt(current, now time.Time) time.Time {
+	if now.Before(k.heldUntil) {
+		return time.Time{}
+	}
+	return current
+}
+
+// applyRows applies the rows of all groups as read by a call that was sent at a time.
+func (k *Keeper) applyRows(rows []platform.Row, sent time.Time, generation uint64) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !sent.After(k.readSent) || k.hasSeen && generation < k.generation {
+		return
+	}
+	first := !k.hasRead()
+	for _, g := range k.groups {
+		g.fresh = first && k.cfg.FirstStart() || g.fresh
+	}
+	returned := k.enter(generation, now)
+	if first && now.Before(k.heldUntil) {
+		k.distrust(now)
+	}
+	k.readSent = sent
+	read := map[string]platform.Row{}
+	for _, r := range rows {
+		if name, ok := strings.CutPrefix(r.Key, rowPrefix); ok {
+			read[name] = r
+			k.group(name)
+		}
+	}
+	for name, g := range k.groups {
+		before := g.stage(now)
+		r, exists := read[name]
+		g.read(k.decode(name, r, exists), r.Version, k.validAt(sent, now), now, returned)
+		k.logRow(name, g, before, now)
+	}
+}
+
+// distrust makes this VM, which has just started, take up nothing by the one version that is listed for as long as a stream may live:
+// the store may have lost the rows. k.mu is held.
+func (k *Keeper) distrust(now time.Time) {
+	for name, g := range k.groups {
+		life, _ := k.cfg.Life(name)
+		g.unproven = now.Add(life + k.cfg.Timing.Hold)
+	}
+}
+
+// decode returns a row, nil if there is none. k.mu is held.
+func (k *Keeper) decode(name string, r platform.Row, exists bool) *row {
+	if !exists {
+		return nil
+	}
+	decoded, err := decodeRow(r.Value)
+	if err != nil {
+		if k.malformed[name] != r.Version {
+			k.malformed[name] = r.Version
+			k.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "software_row_malformed", "group": name}).Warn("cannot read the row of software versions; streams may have begun at any version")
+		}
+		decoded = unknownRow.clone()
+	}
+	return &decoded
+}
+
+// logRow logs a row that has changed. k.mu is held.
+func (k *Keeper) logRow(name string, g *group, before groupStage, now time.Time) {
+	if after := g.stage(now); after.newest != before.newest || after.tables != before.tables {
+		k.cfg.Log.WithFields(logrus.Fields{"event": "software_tables", "group": name, "tables": g.describe(), "version": platform.CounterOf(g.version)}).
+			Info("tables of software versions changed")
+	}
+}
+
+// Begin returns the version at which a stream begins. The error is an *Unknown.
+func (k *Keeper) Begin(ctx context.Context, group, id string) (Decision, error) {
+	k.awaitStart(ctx)
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g := k.group(group)
+	version, source, why := g.begin(KeyOf(group, id), now)
+	if why == decided {
+		return Decision{Version: version, Source: source, Age: g.age(now)}, nil
+	}
+	if why == outOfDate {
+		return Decision{}, &Unknown{"this VM's copy of the software versions is too old to begin a stream by", minRetryAfter}
+	}
+	return Decision{}, &Unknown{"the software versions of the endpoints are not agreed yet", g.settlesIn()}
+}
+
+// awaitStart waits briefly until the rows have been read for the first time.
+func (k *Keeper) awaitStart(ctx context.Context) {
+	for end := time.Now().Add(startWait); time.Now().Before(end) && ctx.Err() == nil; {
+		k.mu.Lock()
+		has := k.hasRead()
+		k.mu.Unlock()
+		if has {
+			return
+		}
+		clock.Sleep(ctx, tick/5)
+	}
+}
+
+// TakeUp returns the version at which a stream has begun, by the ID of the caller's attempt that brought its first event. The error
+// is an *Unknown.
+func (k *Keeper) TakeUp(ctx context.Context, group, id string) (Decision, error) {
+	k.awaitStart(ctx)
+	d, why := k.recall(group, id)
+	if d == nil && why != conflicting {
+		d, why = k.decide(group, id)
+	}
+	switch {
+	case d != nil:
+		return *d, nil
+	case why == conflicting:
+		return Decision{}, &Unknown{"streams of several software versions have the same id", defaultRetryAfter}
+	}
+	homes := make(chan *Decision, 1)
+	go func() { homes <- k.askHomes(ctx, KeyOf(group, id)) }()
+	if why == outOfDate {
+		k.refresh(ctx)
+		if d, why = k.decide(group, id); d != nil {
+			return *d, nil
+		}
+	}
+	if d := <-homes; d != nil {
+		return *d, nil
+	}
+	return Decision{}, k.unknown(group, why)
+}
+
+// recall returns what this VM remembers of a stream; nil if nothing.
+func (k *Keeper) recall(group, id string) (*Decision, reason) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.memory.find(KeyOf(group, id), now)
+	if s == nil {
+		return nil, ambiguous
+	}
+	if s.conflict {
+		return nil, conflicting
+	}
+	d := Decision{Version: s.version, Source: SourceMemory}
+	if s.from != "" {
+		d.Source = s.from
+	}
+	return &d, decided
+}
+
+// decide decides a take-up by the tables; nil if they do not tell.
+func (k *Keeper) decide(group, id string) (*Decision, reason) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	g := k.group(group)
+	// The time is read last: a VM that stood still until here finds its copy too old.
+	now := time.Now()
+	version, source, why := g.takeUp(KeyOf(group, id), now)
+	if why != decided {
+		return nil, why
+	}
+	return &Decision{Version: version, Source: source, Age: g.age(now)}, decided
+}
+
+// unknown returns the error for a take-up that cannot be decided.
+func (k *Keeper) unknown(group string, why reason) error {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if why == outOfDate {
+		return &Unknown{"this VM's copy of the software versions is too old to tell at which one the stream began", minRetryAfter}
+	}
+	life, _ := k.cfg.Life(group)
+	return &Unknown{"it is not known at which software version the stream began", k.group(group).agreeIn(life, now)}
+}
+
+// Began records that the first event of a stream, or of a part of one, has come from a version.
+func (k *Keeper) Began(group, id, version string) {
+	life, ok := k.cfg.Life(group)
+	if !ok || id == "" {
+		return
+	}
+	now := time.Now()
+	key := KeyOf(group, id)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.memory.add(key, stream{group: group, version: version, until: now.Add(life)}, now)
+	k.unsent = append(k.unsent, key)
+}
+
+// Serves reports whether the endpoint listed under an ID has the version, or none is listed any more.
+func (k *Keeper) Serves(endpoint, version string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	listed, ok := k.software[endpoint]
+	return !ok || listed == version
+}
+
+// Run reads and writes rows, and sends records of streams to their homes, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	swept := time.Now()
+	clock.Every(ctx, tick, func(now time.Time) {
+		if rows, sent, generation := k.cfg.Listed(rowPrefix); !sent.IsZero() {
+			k.applyRows(rows, sent, generation)
+		}
+		if k.readDue(now) {
+			go k.refresh(ctx)
+		}
+		k.writeDue(ctx)
+		k.sendRecords(ctx)
+		if now.Sub(swept) >= sweepPeriod {
+			swept = now
+			k.mu.Lock()
+			k.memory.sweep(now)
+			k.mu.Unlock()
+		}
+	})
+}
+
+// readDue reports whether this VM is to read the rows for itself.
+func (k *Keeper) readDue(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.reading != nil || k.listedAt.IsZero() || now.Sub(k.listedAt) < startRead {
+		return false
+	}
+	interval := time.Duration(unknownAge)
+	for name, g := range k.groups {
+		if _, relevant := k.cfg.Life(name); !relevant {
+			continue
+		}
+		switch {
+		case g.changing() || g.ahead:
+			interval = min(interval, k.cfg.ReadInterval)
+		case g.row != nil, g.age(now) >= k.cfg.Timing.Bound && clock.Elapsed(g.listed, now) < k.cfg.Timing.Bound:
+			interval = min(interval, steadyReadInterval)
+		}
+	}
+	if !k.hasRead() {
+		interval = k.cfg.ReadInterval
+	}
+	return now.Sub(k.readSent) >= interval && now.Sub(k.readTried) >= min(interval, k.cfg.ReadInterval)
+}
+
+// refresh reads the rows, or waits for the read that is under way.
+func (k *Keeper) refresh(ctx context.Context) {
+	k.mu.Lock()
+	if under := k.reading; under != nil {
+		k.mu.Unlock()
+		select {
+		case <-under:
+		case <-ctx.Done():
+		}
+		return
+	}
+	done := make(chan struct{})
+	k.reading, k.readTried = done, time.Now()
+	k.mu.Unlock()
+	// A read goes on if the request that waits for it ends.
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.cfg.ReadTimeout)
+	defer cancel()
+	sent := clock.Now()
+	rows, err := k.cfg.Rows.List(limited, rowPrefix)
+	if err == nil {
+		k.applyRows(rows, sent, k.cfg.Rows.Generation())
+	} else {
+		k.cfg.Log.WithError(err).WithField("event", "software_not_read").Info("could not read the rows of software versions")
+	}
+	k.mu.Lock()
+	k.reading = nil
+	k.mu.Unlock()
+	close(done)
+}
+
+// writeDue writes the rows that are due, one for each group.
+func (k *Keeper) writeDue(ctx context.Context) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.writing {
+		return
+	}
+	var names []string
+	for name := range k.groups {
+		if k.isDue(name, now) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	k.writing = true
+	go func() {
+		for _, name := range names {
+			k.write(ctx, name)
+		}
+		k.mu.Lock()
+		k.writing = false
+		k.mu.Unlock()
+	}()
+}
+
+// isDue reports whether this VM is to write the row of a group now. k.mu is held.
+func (k *Keeper) isDue(name string, now time.Time) bool {
+	g := k.groups[name]
+	life, relevant := k.cfg.Life(name)
+	_, due := g.plan(life, uuid.NewString, now)
+	if !relevant || !due || now.Before(k.heldUntil) && !g.ahead {
+		delete(k.due, name)
+		return false
+	}
+	at, waiting := k.due[name]
+	if !waiting {
+		at = now.Add(otherWriterDelay + rand.N(otherWriterDelay))
+		if g.ahead {
+			at = now.Add(rand.N(lostRowDelay))
+		}
+		k.due[name] = at
+	}
+	return k.cfg.WritesFirst() || !now.Before(at)
+}
+
+// write writes the row of a group, or deletes it.
+func (k *Keeper) write(ctx context.Context, name string) {
+	k.mu.Lock()
+	g := k.groups[name]
+	life, _ := k.cfg.Life(name)
+	next, due := g.plan(life, uuid.NewString, time.Now())
+	key, version := rowPrefix+name, g.version
+	k.mu.Unlock()
+	if !due {
+		return
+	}
+	entry := platform.Write{Key: key, Delete: next == nil}
+	if next != nil {
+		value, err := json.Marshal(next)
+		if err != nil {
+			k.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "software_not_written", "group": name}).Error("cannot encode the row of software versions")
+			return
+		}
+		entry.Value = value
+	}
+	limited, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	written, err := k.cfg.Rows.Commit(limited, platform.Txn{
+		Attempt: uuid.NewString(), Conditions: []platform.Condition{{Key: key, Version: version}}, Writes: []platform.Write{entry},
+	})
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		k.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "software_not_written", "group": name}).Warn("could not write the row of software versions")
+		return
+	}
+	k.cfg.Log.WithFields(logrus.Fields{"event": "software_written", "group": name, "version": platform.CounterOf(written), "conflict": err != nil}).
+		Info("row of software versions written, or changed by another VM meanwhile")
+	// What counts is what the table holds now.
+	k.refresh(ctx)
+}
+
+// GroupState describes the software versions of a group as this VM knows them.
+type GroupState struct {
+	Group string `json:"group"`
+	// Versions are the listed versions with the slots that accept requests.
+	Versions []string `json:"versions"`
+	// Tables are the tables of shares, oldest first; none while the group has one version.
+	Tables []string `json:"tables"`
+	// Age is how old the knowledge of the tables may be.
+	Age string `json:"age"`
+	// Streams is the number of streams that this VM remembers.
+	Streams int `json:"streams"`
+}
+
+// State describes the groups with resumable streams.
+func (k *Keeper) State() []GroupState {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	streams := map[string]int{}
+	for _, s := range k.memory.streams {
+		streams[s.group]++
+	}
+	var list []GroupState
+	for name, g := range k.groups {
+		if _, relevant := k.cfg.Life(name); relevant {
+			list = append(list, GroupState{
+				Group: name, Versions: describeShares(g.slots), Tables: g.describe(), Age: g.age(now).Round(time.Millisecond).String(), Streams: streams[name],
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b GroupState) int { return strings.Compare(a.Group, b.Group) })
+	return list
+}
--- a/pkg/follow/mirror.go
+++ b/pkg/follow/mirror.go
@@ -5,9 +5,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/platform"
 )
 
@@ -28,6 +30,8 @@
 	rows        map[string]platform.Row
 	position    uint64
 	hasPosition bool
+	// refreshed is when the last call that brought the copy up to date was sent.
+	refreshed time.Time
 }
 
 // NewMirror returns a Mirror of the table. The first listing takes a snapshot.
@@ -60,6 +64,14 @@
 	return platform.GenerationOf(m.position)
 }
 
+// CachedAt returns the rows whose keys begin with prefix as of the last listing, when the call for that listing was sent, and the
+// generation of the table service to which it belongs. The time is zero before the first one. It makes no call.
+func (m *Mirror) CachedAt(prefix string) (rows []platform.Row, sent time.Time, generation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.matching(prefix), m.refreshed, platform.GenerationOf(m.position)
+}
+
 // matching returns the rows whose keys begin with prefix, in key order. m.mu is held.
 func (m *Mirror) matching(prefix string) []platform.Row {
 	var rows []platform.Row
@@ -74,10 +86,12 @@
 
 // refresh brings the copy up to date. m.mu is held.
 func (m *Mirror) refresh(ctx context.Context) error {
+	sent := clock.Now()
 	if m.hasPosition {
 		changes, position, err := m.Changes(ctx, m.position, 0)
 		if err == nil {
 			m.apply(changes, position)
+			m.refreshed = sent
 			return nil
 		}
 		if !errors.Is(err, platform.ErrCompacted) {
@@ -85,6 +99,7 @@
 		}
 		m.hasPosition = false
 	}
+	sent = clock.Now()
 	rows, position, err := m.Snapshot(ctx)
 	if err != nil {
 		return err
@@ -93,7 +108,7 @@
 	for _, row := range rows {
 		m.rows[row.Key] = row
 	}
-	m.position, m.hasPosition = position, true
+	m.position, m.hasPosition, m.refreshed = position, true, sent
 	return nil
 }
 
--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -96,6 +96,8 @@
 	// there is none or once that is decided.
 	maybeCrashed *roster.Incarnation
 
+	// version is the software version at which the stream may run.
+	version   streamVersion
 	placement Placement
 	response  *upstream.Response
 	sentAt    time.Time
@@ -358,6 +360,9 @@
 	if e := c.abortReason(); e != nil {
 		return c.refuse(e)
 	}
+	if e := c.bindVersion(); e != nil {
+		return c.refuse(e)
+	}
 	began := time.Now()
 	placement, err := c.awaitPlacement()
 	c.waited += time.Since(began)
@@ -385,10 +390,14 @@
 
 // dispatchRequest returns the description of the request for the dispatcher.
 func (c *call) dispatchRequest() Request {
+	continues, version := c.relay.headSent, c.relay.software
+	if !continues {
+		continues, version = c.version.bound, c.version.Version
+	}
 	return Request{
 		ID: c.terms.ID, Group: c.group, Route: c.route, Account: c.account, Terms: c.terms,
 		Urgency: c.urgency, OverLimit: c.charge.OverLimit, Arrived: c.arrived, Deadline: c.deadline, Exclude: c.exclude,
-		Continues: c.relay.headSent, Software: c.relay.software,
+		Continues: continues, Software: version,
 	}
 }
 
--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -75,7 +75,7 @@
 		fields["list"], fields["list_age"] = c.sentBy.List, c.sentBy.ListAge.Round(time.Millisecond)
 		fields["list_from"], fields["sent_after"] = c.sentBy.Source, c.sentAt.Sub(c.arrived).Round(time.Millisecond)
 	}
-	entry := c.g.cfg.Log.WithFields(fields)
+	entry := c.g.cfg.Log.WithFields(fields).WithFields(c.version.logFields())
 	if c.failure == nil {
 		entry.Info("request ended with the response of an endpoint")
 		return
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,13 +25,16 @@
 type Rules struct {
 	Bundle *bundle.Bundle
 	Routes *route.Table
+	// StreamLife is how long a resumable stream may be taken up after it was begun, by group; groups without such streams are
+	// missing.
+	StreamLife map[string]time.Duration
 	// longestLimit is the longest time limit of the bundle.
 	longestLimit time.Duration
 }
 
 // NewRules returns the rules of a bundle.
 func NewRules(b *bundle.Bundle) *Rules {
-	return &Rules{Bundle: b, Routes: route.NewTable(b), longestLimit: longestLimit(b)}
+	return &Rules{Bundle: b, Routes: route.NewTable(b), StreamLife: streamLife(b), longestLimit: longestLimit(b)}
 }
 
 // Request describes a request to the dispatcher.
@@ -52,7 +55,8 @@
 	Deadline time.Time
 	// Exclude lists the endpoints that have failed this request or must not get it.
 	Exclude []string
-	// Continues says that a stream has begun at an endpoint of the version Software, and may go on only at that version.
+	// Continues says that the request is for a stream that may run only at endpoints of the version Software: it has begun there, or
+	// all VMs will take it for one that has.
 	Continues bool
 	Software  string
 }
@@ -125,6 +129,7 @@
 	Dispatcher Dispatcher
 	Upstream   *upstream.Client
 	Suspects   Suspects
+	Streams    Streams
 	// Memory bounds the memory for request bodies and responses.
 	Memory *memory.Budget
 	// Retries returns the retry budget of a group.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -37,7 +37,7 @@
 type testDialect struct{}
 
 func (testDialect) Inspect(h http.Header) (dialect.RequestInfo, error) {
-	t := dialect.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last")}
+	t := dialect.RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes")}
 	if text := h.Get("Patience"); text != "" {
 		ms, err := strconv.Atoi(text)
 		if err != nil {
@@ -171,6 +171,7 @@
 	suspectTable *suspect.Table
 	partTable    *suspect.PartTable
 	prober       suspect.Prober
+	streams      *scriptedStreams
 	// withheld are the endpoints to which nothing may be sent.
 	withheld []string
 	updates  Updates
@@ -188,6 +189,7 @@
 		memory: memory.NewBudget(1 << 20), suspectTable: suspect.NewTable(suspect.DirectLimits()),
 		partTable: suspect.NewPartTable("vm"), prober: unknownProber{},
 	}
+	b.streams = &scriptedStreams{dispatcher: b.dispatcher, begun: map[string]string{}}
 	for i, h := range endpoints {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			b.received <- r.Clone(context.Background())
@@ -220,7 +222,7 @@
 	b.logHook = lines
 	g := New(Config{
 		Rules: func() *Rules { return b.rules }, KeysValid: func() bool { return b.keysValid }, Updates: func() Updates { return b.updates }, Dialect: testDialect{},
-		Quota: b.quota, Dispatcher: b.dispatcher, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{Check: b.check}), Suspects: b.suspects(), Memory: b.memory,
+		Quota: b.quota, Dispatcher: b.dispatcher, Upstream: upstream.NewClient(pools, testDialect{}, upstream.Events{Check: b.check}), Suspects: b.suspects(), Streams: b.streams, Memory: b.memory,
 		Retries: func(string) *retry.Window { return b.retries }, Metrics: metrics.NewRegistry(), Log: log,
 	})
 	b.gateway = g
@@ -556,10 +558,12 @@
 	}
 }
 
-// Guards against a stream that is not repeated before its first event: any version may begin it then.
+// Guards against a stream that is not repeated before its first event: the version by the newest tables may begin it then, whatever
+// that of the failed attempt was.
 func TestStreamWithoutAnEventMayBeginAtAnotherSoftwareVersion(t *testing.T) {
 	b := newTestbed(t, flushThenDrop(""), func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, numberedEvents(1, 5)) })
 	b.dispatcher.endpoints[0].Software, b.dispatcher.endpoints[1].Software = "v1", "v2"
+	b.streams.begins = []string{"v1", "v2"}
 	a := b.do("/resume/", nil, "")
 	require.False(t, a.truncated)
 	require.Equal(t, numberedEvents(1, 5), a.body)
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -211,6 +211,7 @@
 // writeEvents passes on complete events of a stream.
 func (c *call) writeEvents(complete []byte) error {
 	if !c.relay.headSent {
+		c.recordBegun()
 		c.writeHead(c.response.Status, c.response.Header, -1)
 	}
 	if err := c.write(complete, true); err != nil {
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -25,6 +25,10 @@
 		c.endPlacement(Outcome{Canceled: true})
 		return c.refuse(e)
 	}
+	if !c.servesVersion() {
+		c.endPlacement(Outcome{Canceled: true})
+		return c.tryAnother(result.New(result.NoEndpoint, "the endpoint has another software version than the stream"), false)
+	}
 	c.partsServed = false
 	c.sentAt, c.headAt, c.partAt = time.Now(), time.Time{}, time.Time{}
 	c.sentBy = c.g.cfg.Updates()
@@ -47,6 +51,10 @@
 	if !c.validHead() {
 		return c.invalidResponse("the endpoint's answer is not one of its own")
 	}
+	// The endpoint may have started again with another version after it was chosen.
+	if !c.servesVersion() {
+		return c.invalidResponse("the endpoint has another software version than the stream")
+	}
 	return eventHead
 }
 
--- a/pkg/gatewayd/fleetview.go
+++ b/pkg/gatewayd/fleetview.go
@@ -41,6 +41,10 @@
 	// onEndpoints is called with each list of endpoints that is applied, before requests go to endpoints that it adds, and
 	// with a time at which the list was current. It is set before any component starts.
 	onEndpoints func(list []roster.Endpoint, confirmed time.Time)
+	// onList is the same with the position of the list in its table, onListConfirmed is called when the list is known to be still
+	// current.
+	onList          func(list []roster.Endpoint, position uint64, confirmed time.Time)
+	onListConfirmed func(confirmed time.Time)
 
 	// onRestored is called with the endpoints of a failure domain whose evacuation has ended, before they get requests
 	// again. It is set before any component starts.
@@ -100,6 +104,7 @@
 		platform: p, log: log, roster: roster.New(), onChange: func() {}, onEndpointRead: func(roster.Endpoint) {},
 		onRestored: func([]roster.Endpoint) {}, evacuateWithin: Bounds{}.evacuateWithin,
 		onEndpoints: func([]roster.Endpoint, time.Time) {}, minOutage: Bounds{}.minOutage, contact: Bounds{}.contact,
+		onList: func([]roster.Endpoint, uint64, time.Time) {}, onListConfirmed: func(time.Time) {},
 		storeFailedAt: time.Now,
 		operatorRows:  map[string]versionedRow{}, newestVersions: map[residency.Key]int{}, leaving: map[roster.Incarnation]time.Time{}, malformed: map[string][]byte{},
 	}
@@ -285,6 +290,7 @@
 		}
 	}
 	v.onEndpoints(list, confirmed)
+	v.onList(list, position, confirmed)
 	v.setEndpoints(old, list)
 	v.confirm(time.Time{}, confirmed)
 	return true
@@ -399,13 +405,17 @@
 // confirm records the times up to which the operator's rows and the endpoint list are known to be current.
 func (v *fleetView) confirm(operator, endpoints time.Time) {
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	if operator.After(v.operatorConfirmedAt) {
 		v.operatorConfirmedAt = operator
 	}
-	if endpoints.After(v.endpointsConfirmedAt) {
+	later := endpoints.After(v.endpointsConfirmedAt)
+	if later {
 		v.endpointsConfirmedAt = endpoints
 	}
+	v.mu.Unlock()
+	if later {
+		v.onListConfirmed(endpoints)
+	}
 }
 
 // rulesAge returns the time since the operator's rows were last known to be current.
--- a/pkg/gatewayd/gatewayd.go
+++ b/pkg/gatewayd/gatewayd.go
@@ -82,7 +82,7 @@
 		fx.Provide(
 			newIdentity, newLog, newLiveSettings, metrics.NewRegistry, newPlatform, newBackground, newListeners,
 			newFleetView, newUpdateLog, newRelay, newRateLimiter, newUpstream,
-			newPeers, newCoordination, newAllowances, newOrders, newDispatcher, newSuspects, newGateway, newServers, newProcess,
+			newPeers, newCoordination, newAllowances, newOrders, newDispatcher, newSuspects, newStreams, newGateway, newServers, newProcess,
 		),
 		fx.Invoke(connectComponents, registerServices),
 		fx.Populate(&d.process),
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -19,6 +19,7 @@
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/connlimit"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/dispatch/software"
 	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
 	"github.com/mallowlink/mallowlink/pkg/orders"
@@ -122,6 +123,7 @@
 	Limits       *ratelimit.Limiter
 	Dispatcher   *dispatch.Dispatcher
 	Suspects     suspects
+	Streams      *software.Keeper
 	Gateway      *gateway.Gateway
 	Servers      *servers
 }
@@ -153,6 +155,7 @@
 	p.startLoop(p.components.Limits.Run)
 	p.startLoop(p.components.Dispatcher.Run)
 	p.startLoop(p.components.Suspects.run)
+	p.startLoop(p.components.Streams.Run)
 	p.startLoop(p.components.LiveSettings.run)
 	p.startLoop(p.sweep)
 	p.startHTTPServer("readiness", p.components.Servers.readiness, connlimit.EvictingListener(p.components.Listeners.readiness, statusConnections))
--- a/pkg/gatewayd/state.go
+++ b/pkg/gatewayd/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/mallowlink/mallowlink/pkg/allowance"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/dispatch/software"
 	"github.com/mallowlink/mallowlink/pkg/orders"
 	"github.com/mallowlink/mallowlink/pkg/ratelimit"
 	"github.com/mallowlink/mallowlink/pkg/relay"
@@ -36,6 +37,8 @@
 	Accounts         []allowance.AccountState `json:"accounts"`
 	// Suspects are the requests that were running on endpoints when these crashed.
 	Suspects []suspect.Suspect `json:"suspects"`
+	// Streams describe the software versions of the groups with resumable streams.
+	Streams []software.GroupState `json:"streams"`
 	// HeldParts are the parts of prompts for which requests are refused.
 	HeldParts []suspect.PartState `json:"held_parts"`
 }
@@ -99,6 +102,7 @@
 		Leases: coord.stewards.heldLeases(), EndpointsAge: formatDuration(view.endpointsAge()),
 		Engines: p.components.Orders.State(), Accounts: p.components.Allowances.limiter.State(),
 		Suspects: p.components.Suspects.detector.Suspects(), HeldParts: p.components.Suspects.detector.PartStates(),
+		Streams: p.components.Streams.State(),
 	}
 	if rules := view.rules.Load(); rules != nil {
 		s.Config = ConfigState{
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -51,7 +51,9 @@
 	draining       bool
 	directory      lease.Directory
 	directoryKnown bool
-	vms            map[string]knownVM
+	// unused says that no VM had had a session in the first directory.
+	unused bool
+	vms    map[string]knownVM
 }
 
 // rowLister lists the rows of mallowlink's own table. *follow.Mirror implements it.
@@ -77,9 +79,19 @@
 func (s *stewardSet) setDirectory(d lease.Directory) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.directoryKnown {
+		s.unused = d.NeverUsed
+	}
 	s.directory, s.directoryKnown = d, true
 }
 
+// foundUnused reports whether no VM had had a session when this one first read the directory.
+func (s *stewardSet) foundUnused() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.unused
+}
+
 // currentDirectory returns the newest known directory of leases.
 func (s *stewardSet) currentDirectory() lease.Directory {
 	if s.isSteward() {
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -16,6 +16,7 @@
 	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/dialect"
 	"github.com/mallowlink/mallowlink/pkg/dispatch"
+	"github.com/mallowlink/mallowlink/pkg/dispatch/software"
 	"github.com/mallowlink/mallowlink/pkg/eventlog"
 	"github.com/mallowlink/mallowlink/pkg/follow"
 	"github.com/mallowlink/mallowlink/pkg/gateway"
@@ -366,7 +367,7 @@
 	s.syncer.Run(ctx)
 }
 
-func newGateway(s Settings, l *liveSettings, n *relay.Node, coord coordination, p Platform, view *fleetView, a allowances, d *dispatch.Dispatcher, sus suspects, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
+func newGateway(s Settings, l *liveSettings, n *relay.Node, coord coordination, p Platform, view *fleetView, a allowances, d *dispatch.Dispatcher, sus suspects, streams *software.Keeper, out outbound, registry metrics.Registry, log logrus.FieldLogger) *gateway.Gateway {
 	return gateway.New(gateway.Config{
 		Rules:      view.rules.Load,
 		KeysValid:  func() bool { return keysValid(view, l.bounds()) },
@@ -376,6 +377,7 @@
 		Dispatcher: d,
 		Upstream:   out.client,
 		Suspects:   sus.detector,
+		Streams:    streams,
 		Memory:     newBufferBudget(s, registry),
 		Retries:    newRetryLimiter(s.Bounds.Retry, coord.stewards).window,
 		Metrics:    registry,
@@ -510,12 +512,13 @@
 // connectComponents sets the callbacks that cannot be passed to constructors, because the components depend on
 // each other: gained and lost leases are forwarded to every component that acts under leases, changes of the
 // fleet view to the orders and the leases, and changes of the membership to the leases.
-func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, limits *ratelimit.Limiter, l *liveSettings, p *process) {
+func connectComponents(coord coordination, view *fleetView, o *orders.Service, a allowances, d *dispatch.Dispatcher, limits *ratelimit.Limiter, streams *software.Keeper, l *liveSettings, p *process) {
 	view.evacuateWithin = func() time.Duration { return l.bounds().evacuateWithin() }
 	view.contact = func() time.Duration { return l.bounds().contact() }
 	view.minOutage = func() time.Duration { return l.bounds().minOutage() }
 	view.onEndpointRead = d.RecordLoaded
 	view.onEndpoints = limits.Listed
+	view.onList, view.onListConfirmed = streams.List, streams.Confirm
 	view.onRestored = func(endpoints []roster.Endpoint) { treatAsCold(limits, view.coldLimits(), endpoints) }
 	coord.leaseListeners.listeners = []lease.Listener{o, a.home}
 	coord.leaseListeners.note = a.home.Note
@@ -532,7 +535,7 @@
 }
 
 // registerServices registers this VM's net/rpc services for calls from other VMs.
-func registerServices(pp peers, coord coordination, a allowances, o *orders.Service, limits *ratelimit.Limiter, n *relay.Node, sus suspects) error {
+func registerServices(pp peers, coord coordination, a allowances, o *orders.Service, limits *ratelimit.Limiter, n *relay.Node, sus suspects, streams *software.Keeper) error {
 	services := []struct {
 		name     string
 		receiver any
@@ -545,6 +548,7 @@
 		{relay.ServiceName, n.Service()},
 		{suspect.ServiceName, sus.syncer.Service()},
 		{suspect.PartServiceName, sus.partSyncer.Service()},
+		{software.ServiceName, streams.Service()},
 	}
 	for _, service := range services {
 		if err := pp.server.Register(service.name, service.receiver); err != nil {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -42,6 +42,7 @@
 	LoadFailed      Code = 3004
 	EndpointTimeout Code = 3005
 	AnswerTooLarge  Code = 3006
+	VersionUnknown  Code = 3007
 	NoOwner         Code = 4001
 	OwnerLost       Code = 4002
 	StoreDown       Code = 4003
@@ -80,6 +81,7 @@
 	{LoadFailed, "load-failed", http.StatusServiceUnavailable, NotRun, "The adapter could not be loaded; send again after the time in Retry-After."},
 	{EndpointTimeout, "endpoint-timeout", http.StatusGatewayTimeout, MayHaveRun, "Look up whether the request took effect before sending it again."},
 	{AnswerTooLarge, "answer-too-large", http.StatusBadGateway, Ran, "The endpoint's answer is larger than the limit; ask for less."},
+	{VersionUnknown, "version-unknown", http.StatusServiceUnavailable, NotRun, "Start the stream anew, or send again after the time in Retry-After."},
 	{NoOwner, "no-owner", http.StatusServiceUnavailable, NotRun, "Send again after the time in Retry-After."},
 	{OwnerLost, "owner-lost", http.StatusBadGateway, MayHaveRun, "Look up whether the request took effect before sending it again."},
 	{StoreDown, "store-down", http.StatusServiceUnavailable, NotRun, "Send again after the time in Retry-After."},
