All parts of a prompt are recorded at a crash and looked up

Cause: the list of parts was cut off at 64 (suspect.MaxPartsPerRequest), at the crash and at the look-up. Change: no cut; what is bounded is the table of parts, by client account, with room made in one pass. Evidence: TestCrashingPartBehindManyOthersIsRefused fails on with 70 and with 1,500 parts ('Condition never satisfied: the crash counts against the part').

--- a/pkg/gateway/errors.go
+++ b/pkg/gateway/errors.go
@@ -60,6 +60,9 @@
 	_, _ = w.Write(body)
 }
 
+// maxLoggedParts bounds the parts of a prompt that a log line names.
+const maxLoggedParts = 64
+
 // logEnd logs the end of a request.
 func (c *call) logEnd(state chart.State) {
 	fields := logrus.Fields{
@@ -98,7 +101,7 @@
 	if upstream.ConnectionClosed(err) {
 		c.g.meters.connectionsEnded.Inc(1)
 		entry = entry.WithFields(logrus.Fields{
-			"fingerprint": strconv.FormatUint(c.fingerprint(), 16), "parts": strings.Join(c.sharedParts(), ","), "begun": !c.headAt.IsZero(),
+			"fingerprint": strconv.FormatUint(c.fingerprint(), 16), "parts": strings.Join(c.sharedParts()[:min(len(c.sharedParts()), maxLoggedParts)], ","), "parts_in_all": len(c.sharedParts()), "begun": !c.headAt.IsZero(),
 		})
 	}
 	entry.Warn("attempt at endpoint not successful")
--- a/pkg/gateway/parts_test.go
+++ b/pkg/gateway/parts_test.go
@@ -57,3 +57,33 @@
 	}
 	require.Equal(t, 3, fatal, "requests with the part that reached the endpoint")
 }
+
+// Guards against a crashing part that is not looked at because it stands behind many others in the prompt.
+func TestCrashingPartBehindManyOthersIsRefused(t *testing.T) {
+	for _, n := range []int{70, 1500} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			b := newTestbed(t, crashOn("bad"))
+			b.prober = endedProber{}
+			companions := make([]string, n)
+			for i := range companions {
+				companions[i] = fmt.Sprint("c", i)
+			}
+			before := strings.Join(companions, ",")
+			fatal := 0
+			for i := range 8 {
+				own := fmt.Sprint("own-", i)
+				require.Equal(t, 200, b.do("/stream/x", map[string]string{"Parts": before + ",behind," + own}, own).status)
+				sent := b.arrivals()
+				a := b.do("/stream/x", map[string]string{"Parts": before + ",bad,behind," + own}, own)
+				if b.arrivals() > sent {
+					fatal++
+					b.dispatcher.endpoints[0].Started++
+					require.Eventually(t, func() bool { return b.crashesOf("bad") == fatal }, 5*time.Second, time.Millisecond, "the crash counts against the part")
+					continue
+				}
+				require.Equal(t, 503, a.status)
+			}
+			require.Equal(t, 3, fatal, "requests with the part that reached the endpoint")
+		})
+	}
+}
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -158,9 +157,12 @@
 	if c.cachedParts != nil || len(c.terms.Prompt) < 2 {
 		return c.cachedParts
 	}
-	shared := c.terms.Prompt[:min(len(c.terms.Prompt)-1, suspect.MaxPartsPerRequest)]
+	shared := c.terms.Prompt[:len(c.terms.Prompt)-1]
+	c.cachedParts = make([]string, 0, len(shared))
+	known := make(map[string]bool, len(shared))
 	for _, part := range shared {
-		if !slices.Contains(c.cachedParts, part.ID) {
+		if !known[part.ID] {
+			known[part.ID] = true
 			c.cachedParts = append(c.cachedParts, part.ID)
 		}
 	}
--- a/pkg/suspect/part_hold.go
+++ b/pkg/suspect/part_hold.go
@@ -36,7 +36,15 @@
 	}
 	t.settledAt = now
 	for _, e := range t.held {
-		e.settled = e.settled || now.Sub(e.heldSince) >= partSettleTime
+		if !e.settled && now.Sub(e.heldSince) >= partSettleTime {
+			e.settled = true
+			t.unsettledUntil = now.Add(2 * partSettleTime)
+		}
+	}
+	if now.After(t.unsettledUntil) {
+		return
+	}
+	for _, e := range t.held {
 		if e.settled {
 			t.explainAway(now, e)
 		}
@@ -86,17 +94,21 @@
 // explainAway removes the crashes that a held part explains from the other parts, which only accompanied it. The caller holds mu.
 func (t *PartTable) explainAway(now time.Time, holder *partEntry) {
 	for _, e := range t.entries {
-		if len(e.crashes) == 0 || !holder.explains(now, e) {
-			continue
-		}
-		before := t.describe(now, e)
-		e.crashes = slices.DeleteFunc(e.crashes, func(c partCrash) bool { return indexOf(holder.crashes, c.id) >= 0 })
-		if len(e.crashes) < before.Crashes {
-			t.onExplained(before, holder.part)
-		}
-		t.setHeld(now, e)
+		t.explainCrashes(now, holder, e)
 		if e.empty() {
 			t.remove(e)
 		}
 	}
 }
+
+// explainCrashes removes the crashes that a held part explains from another part. The caller holds mu.
+func (t *PartTable) explainCrashes(now time.Time, holder, e *partEntry) {
+	shared := func(c partCrash) bool { return indexOf(holder.crashes, c.id) >= 0 }
+	if !slices.ContainsFunc(e.crashes, shared) || !holder.explains(now, e) {
+		return
+	}
+	before := t.describe(now, e)
+	e.crashes = slices.DeleteFunc(e.crashes, shared)
+	t.onExplained(before, holder.part)
+	t.setHeld(now, e)
+}
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -15,10 +16,10 @@
 	partCrashes = 3
 	// maxCrashesPerPart bounds the crashes recorded for one part.
 	maxCrashesPerPart = 16
-	// MaxPartsPerRequest bounds the parts of one request that are considered.
-	MaxPartsPerRequest = 64
-	// maxPartEntries bounds the parts in a PartTable.
-	maxPartEntries = 2048
+	// maxPartEntries bounds the parts in a PartTable: those of several requests whose lists of parts fill their headers. When it is
+	// full, the client account with the most parts loses those that met the fewest crashes; evictedShare of all go at once.
+	maxPartEntries = 16384
+	evictedShare   = 1.0 / 16
 	// maxPartName bounds the recorded length of a part's ID, in bytes.
 	maxPartName = 64
 	// partSettleTime is the time between the crash that makes a part held and the first refusal. Within it, the reports of other
@@ -61,8 +62,8 @@
 	entries    map[uint64]*partEntry
 	perAccount map[string]int
 	held       map[uint64]*partEntry
-	// settledAt is when settle last ran.
-	settledAt time.Time
+	// settledAt is when settle last ran, unsettledUntil the time until which a change of the entries may still have consequences.
+	settledAt, unsettledUntil time.Time
 	// onHeld is called when a part becomes held, onExplained when a held part explains the crashes recorded for another. They
 	// are set before the first use and must not block.
 	onHeld      func(HeldPart)
@@ -241,9 +242,7 @@
 // Served records that an endpoint has sent a part of its answer to a request of the account with the parts. It returns the parts
 // that this has cleared of crashes.
 func (t *PartTable) Served(now time.Time, account string, parts []string) []ClearedPart {
-	for _, part := range parts {
-		t.served.add(account, PartFingerprint(part), now)
-	}
+	t.served.add(account, parts, now)
 	if t.Empty() {
 		return nil
 	}
@@ -354,9 +353,11 @@
 	t.setHeld(now, e)
 	for _, holder := range t.held {
 		if holder.settled {
-			t.explainAway(now, holder)
+			t.explainCrashes(now, holder, e)
 		}
 	}
+	// Reports on parts of the same crashes may be on their way.
+	t.unsettledUntil = now.Add(2 * partSettleTime)
 	if e.empty() {
 		t.remove(e)
 	}
@@ -435,31 +436,35 @@
 	}
 }
 
-// evict removes entries until the table has room for one more: those of the account with the most entries, and among them the
-// one with the fewest crashes, so that no account can displace the parts of others. account is the one to make room for, preferred
-// among equals. The caller holds mu.
+// evict removes entries if the table is full: those of the account with the most entries, and among them the ones with the fewest
+// crashes, so that no account can displace the parts of others. account is the one to make room for, preferred among equals. The
+// caller holds mu.
 func (t *PartTable) evict(account string) {
-	for len(t.entries) >= maxPartEntries {
-		largest := account
-		for name, n := range t.perAccount {
-			if n > t.perAccount[largest] {
-				largest = name
-			}
+	if len(t.entries) < maxPartEntries {
+		return
+	}
+	largest := account
+	for name, n := range t.perAccount {
+		if n > t.perAccount[largest] {
+			largest = name
 		}
-		var victim *partEntry
-		for _, e := range t.entries {
-			if e.account == largest && (victim == nil || e.lessSuspect(victim)) {
-				victim = e
-			}
+	}
+	victims := make([]*partEntry, 0, t.perAccount[largest])
+	for _, e := range t.entries {
+		if e.account == largest {
+			victims = append(victims, e)
 		}
-		t.remove(victim)
+	}
+	slices.SortFunc(victims, (*partEntry).compareSuspicion)
+	for _, e := range victims[:min(len(victims), int(maxPartEntries*evictedShare))] {
+		t.remove(e)
 	}
 }
 
-// lessSuspect orders entries for eviction: by the number of crashes, then by the age of the latest.
-func (e *partEntry) lessSuspect(other *partEntry) bool {
-	if len(e.crashes) != len(other.crashes) {
-		return len(e.crashes) < len(other.crashes)
-	}
-	return e.lastCrash().Before(other.lastCrash())
+// compareSuspicion orders entries for eviction: by the number of crashes, then by the age of the latest.
+func (e *partEntry) compareSuspicion(other *partEntry) int {
+	return cmp.Or(
+		cmp.Compare(len(e.crashes)+len(e.pending), len(other.crashes)+len(other.pending)),
+		e.lastCrash().Compare(other.lastCrash()), cmp.Compare(e.fingerprint, other.fingerprint),
+	)
 }
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -310,15 +310,66 @@
 func TestServedPartsAreBounded(t *testing.T) {
 	s, now := newServedParts(), time.Unix(1e9, 0)
 	for i := range 10 * maxServedParts {
-		s.add("greedy", uint64(i+1), now)
+		s.add("greedy", []string{fmt.Sprint("greedy", i)}, now)
 	}
 	require.Len(t, s.current, maxServedPartsPerAccount)
-	s.add("other", 1<<40, now)
-	require.Equal(t, now, s.at(1<<40))
-	s.add("other", 1<<41, now.Add(servedPartsPeriod))
-	require.Equal(t, now, s.at(1<<40))
-	s.add("other", 1<<41, now.Add(2*servedPartsPeriod))
-	require.Zero(t, s.at(1<<40))
+	one := PartFingerprint("one")
+	s.add("other", []string{"one"}, now)
+	require.Equal(t, now, s.at(one))
+	s.add("other", []string{"two"}, now.Add(servedPartsPeriod))
+	require.Equal(t, now, s.at(one))
+	s.add("other", []string{"two"}, now.Add(2*servedPartsPeriod))
+	require.Zero(t, s.at(one))
+}
+
+// Guards against a part that is never held because it stands behind many others: three VMs each see one crash under a request with
+// it, and each request has thousands of further parts, which come with no other crash.
+func TestPartOfALongPromptIsHeldOnAllVMs(t *testing.T) {
+	runFleet(t, 5, func(f *testFleet) {
+		long := func(n int) []string {
+			parts := []string{"first"}
+			for i := range 3000 {
+				parts = append(parts, fmt.Sprintf("%d-%d", n, i))
+			}
+			return append(parts, "bad")
+		}
+		for i := range 3 {
+			f.crashPart(i, fmt.Sprint("e", i), long(i)...)
+			time.Sleep(2 * time.Second)
+			f.vms[i].detector.PartsServed("sound", account, []string{"first"})
+		}
+		time.Sleep(syncDeadline)
+		f.requirePart(Refuse, "bad")
+		f.requirePart(Allow, long(0)[:3001]...)
+	})
+}
+
+// Guards against a caller whose long prompts push out what is known of its own or other accounts' parts, and against a full table
+// that takes long to make room.
+func TestLongPromptsDoNotPushOutOtherParts(t *testing.T) {
+	r := newPartRig(t)
+	r.table.AddObservedCrash(r.now, "other", "others", "e0")
+	r.table.ConfirmCrash(r.now, PartFingerprint("others"), "e0")
+	for n := range 2 {
+		r.crash("bad")
+		r.pass(time.Second)
+		parts := make([]string, 4000)
+		for i := range parts {
+			parts[i] = fmt.Sprintf("%d-%d", n, i)
+		}
+		r.crashAs(fmt.Sprint("long", n), parts...)
+	}
+	r.crash("bad")
+	r.pass(time.Second)
+	r.require(Refuse, "bad")
+	require.Len(t, r.table.ReportsOf(r.now, PartFingerprint("others")), 1)
+	began := time.Now()
+	for i := range 4 * maxPartEntries {
+		r.crashAs("e9", fmt.Sprint("filler", i))
+	}
+	t.Logf("%d crashes of parts recorded in %v", 4*maxPartEntries, time.Since(began))
+	require.LessOrEqual(t, len(r.table.entries), maxPartEntries)
+	r.require(Refuse, "bad")
 }
 
 // A released part is sent again on every VM, and held again only after three further crashes.
--- a/pkg/suspect/served_parts.go
+++ b/pkg/suspect/served_parts.go
@@ -10,8 +10,8 @@
 	servedPartsPeriod = time.Minute
 	// maxServedParts bounds the parts remembered from one servedPartsPeriod, and maxServedPartsPerAccount those that one client
 	// account can add.
-	maxServedParts           = 16384
-	maxServedPartsPerAccount = 1024
+	maxServedParts           = 32768
+	maxServedPartsPerAccount = 4096
 )
 
 // servedParts remembers when parts of prompts were last served on this VM, in two generations. It is safe for concurrent use.
@@ -28,19 +28,22 @@
 	return &servedParts{current: map[uint64]time.Time{}, perAccount: map[string]int{}}
 }
 
-// add records that a request of the account with the part was served. A new part is ignored if the account, or the current
-// generation, is full.
-func (s *servedParts) add(account string, fingerprint uint64, now time.Time) {
+// add records that a request of the account with the parts was served. A new part is ignored if the account, or the current
+// generation, is full: it may be held after three crashes, until it is served again.
+func (s *servedParts) add(account string, parts []string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rotate(now)
-	if _, known := s.current[fingerprint]; !known {
-		if len(s.current) >= maxServedParts || s.perAccount[account] >= maxServedPartsPerAccount {
-			return
+	for _, part := range parts {
+		fingerprint := PartFingerprint(part)
+		if _, known := s.current[fingerprint]; !known {
+			if len(s.current) >= maxServedParts || s.perAccount[account] >= maxServedPartsPerAccount {
+				continue
+			}
+			s.perAccount[account]++
 		}
-		s.perAccount[account]++
+		s.current[fingerprint] = now
 	}
-	s.current[fingerprint] = now
 }
 
 // at returns when the part was last served; zero if that is not remembered.
