--- a/pkg/dispatch/software/homes.go
+++ b/pkg/dispatch/software/homes.go
@@ -104,6 +104,9 @@
 			continue
 		}
 		s.sent = true
+		if k.group(s.group).row != nil {
+			k.journal.add(key)
+		}
 		if members == nil {
 			members = k.cfg.Members()
 		}
--- a/pkg/dispatch/software/keeper.go
+++ b/pkg/dispatch/software/keeper.go
@@ -47,6 +47,8 @@
 	SourceMemory = "memory"
 	SourceTable  = "tables"
 	SourceSole   = "only-version"
+	// SourceJournal stands for what VMs had written of their streams before all of them were lost.
+	SourceJournal = "journal"
 )
 
 // Decision is the software version at which a stream begins or goes on.
@@ -120,6 +122,9 @@
 	due        map[string]time.Time
 	// writing says that rows are being written.
 	writing bool
+	journal journal
+	// writingJournal says that the journal is being written.
+	writingJournal bool
 	// unsent are the streams whose homes may need a record, told is the state of the groups when the others were last looked at.
 	unsent []Key
 	told   map[string]groupStage
@@ -344,6 +349,9 @@
 	if d := <-homes; d != nil {
 		return *d, nil
 	}
+	if d := k.recallFromJournal(ctx, group, id); d != nil {
+		return *d, nil
+	}
 	return Decision{}, k.unknown(group, why)
 }
 
@@ -426,6 +434,7 @@
 		}
 		k.writeDue(ctx)
 		k.sendRecords(ctx)
+		k.writeJournal(ctx)
 		if now.Sub(swept) >= sweepPeriod {
 			swept = now
 			k.mu.Lock()
@@ -571,6 +580,9 @@
 		Info("row of software versions written, or changed by another VM meanwhile")
 	// What counts is what the table holds now.
 	k.refresh(ctx)
+	if next == nil && !k.hasRows() {
+		k.dropJournals(ctx)
+	}
 }
 
 // GroupState describes the software versions of a group as this VM knows them.
--- a/pkg/dispatch/software/model_test.go
+++ b/pkg/dispatch/software/model_test.go
@@ -680,6 +680,60 @@
 	}
 }
 
+// Guards against take-ups that are refused after a loss of all VMs although the streams' versions serve: during a release, when the
+// tables do not agree, and all memories are gone.
+func TestAllVMsLostDuringARelease(t *testing.T) {
+	for _, after := range []time.Duration{3 * time.Second, 6 * time.Second, 9 * time.Second} {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newModel(t, 1, 7, NewTiming(2*time.Second), 2*time.Second)
+				defer m.stop()
+				m.begin("v1")
+				go m.release("v2", 50, 200*time.Millisecond)
+				time.Sleep(after - time.Second)
+				begun := map[string]string{}
+				var all sync.WaitGroup
+				for i := range 200 {
+					all.Go(func() {
+						id := fmt.Sprintf("s%d", i)
+						if d, ok := m.vms[i%7].run(id, ""); ok {
+							m.mu.Lock()
+							defer m.mu.Unlock()
+							begun[id] = d.Version
+						}
+					})
+				}
+				all.Wait()
+				time.Sleep(time.Second)
+				for _, vm := range m.vms {
+					vm.kill()
+				}
+				time.Sleep(time.Second)
+				for _, vm := range m.vms {
+					vm.start()
+				}
+				time.Sleep(1500 * time.Millisecond)
+				wrong, wentOn := 0, 0
+				for i, id := range slices.Sorted(maps.Keys(begun)) {
+					all.Go(func() {
+						if at, ok := m.vms[i%7].run("again-"+id, id); ok {
+							m.mu.Lock()
+							defer m.mu.Unlock()
+							wentOn++
+							if at.Version != begun[id] {
+								wrong++
+							}
+						}
+					})
+				}
+				all.Wait()
+				require.Zero(t, wrong)
+				require.Greater(t, wentOn, len(begun)*3/4)
+			})
+		})
+	}
+}
+
 // The model finds the faults that it guards against: tables that are used at once, and copies of any age that decide take-ups.
 func TestModelFindsStreamsOfTwoVersions(t *testing.T) {
 	for name, test := range map[string]struct {
