A part is cleared by whole answers only, and crashes just after an answer's begin count

Cause: the first event was taken for proof that the part is sound: it cleared the part, and made the crash after it not count. Change: a whole answer that is no error clears a part. A crash counts against the parts of a request whose answer the endpoint had not begun, or had been writing for less than a second; a longer life clears nothing. The end of an unframed stream looks at a field of its own. Evidence: TestPartThatCrashesEndpointsAfterTheirFirstEventIsRefused fails on ('Condition never satisfied: the crash counts against the part').

--- a/pkg/gateway/call.go
+++ b/pkg/gateway/call.go
@@ -88,8 +88,8 @@
 	cachedParts []string
 	// partTrial is the held part as whose trial the request may be sent; 0 if there is none.
 	partTrial uint64
-	// partsServed says that the endpoint has sent a part of its answer.
-	partsServed bool
+	// writingSince is when the first part of the endpoint's answer arrived: an event, or the beginning of a long body; zero before.
+	writingSince time.Time
 	// suspected says that the request is counted as a suspect at its endpoint.
 	suspected bool
 	// maybeCrashed is the incarnation of an endpoint that may have crashed while it ran the request; nil if
--- a/pkg/gateway/parts_test.go
+++ b/pkg/gateway/parts_test.go
@@ -87,3 +87,60 @@
 		})
 	}
 }
+
+// crashAfterFirstEvent begins a stream, and drops the connection after its first event, some time later, if a part of the prompt, other
+// than the last one, is the given one.
+func crashAfterFirstEvent(part string, later time.Duration) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		parts := strings.Split(r.Header.Get("Parts"), ",")
+		_, _ = w.Write([]byte("id: 1\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		if slices.Contains(parts[:len(parts)-1], part) {
+			time.Sleep(later)
+			drop(w, r)
+			return
+		}
+		_, _ = w.Write([]byte("id: 2\n\n"))
+	}
+}
+
+// Guards against a crashing part that is never held because each endpoint sends an event before it ends: the beginning of an answer
+// clears no part, only a whole one does. Requests with the other parts are served all the while.
+func TestPartThatCrashesEndpointsAfterTheirFirstEventIsRefused(t *testing.T) {
+	b := newTestbed(t, crashAfterFirstEvent("bad", 2*time.Millisecond))
+	b.prober = endedProber{}
+	fatal := 0
+	for i := range 12 {
+		own := fmt.Sprint("own-", i)
+		for _, sound := range []string{"first," + own, "first,companion," + own, own} {
+			require.Equal(t, "id: 1\n\nid: 2\n\n", b.do("/stream/x", map[string]string{"Parts": sound}, own).body, sound)
+		}
+		before := b.arrivals()
+		a := b.do("/stream/x", map[string]string{"Parts": "first,companion,bad," + own}, own)
+		if b.arrivals() > before {
+			fatal++
+			b.dispatcher.endpoints[0].Started++
+			require.Eventually(t, func() bool { return b.crashesOf("bad") == fatal }, 5*time.Second, time.Millisecond, "the crash counts against the part")
+			continue
+		}
+		require.Equal(t, 503, a.status)
+		require.Equal(t, string(result.NotRun), a.header.Get(headerOutcome))
+	}
+	require.Equal(t, 3, fatal, "requests with the part that reached the endpoint")
+}
+
+// Guards against sound parts that only long streams have: endpoints that end long after they have begun to write, for whatever reason,
+// say nothing of them.
+func TestPartsOfLongStreamsAreNotHeldForEndpointsThatEnd(t *testing.T) {
+	b := newTestbed(t, crashAfterFirstEvent("long", 1100*time.Millisecond))
+	b.prober = endedProber{}
+	for range 4 {
+		b.do("/stream/x", map[string]string{"Parts": "long,own"}, "")
+		require.Equal(t, 1, b.arrivals())
+		b.dispatcher.endpoints[0].Started++
+		for len(b.received) > 0 {
+			<-b.received
+		}
+	}
+	require.Zero(t, b.crashesOf("long"))
+}
--- a/pkg/gateway/pass.go
+++ b/pkg/gateway/pass.go
@@ -123,7 +123,7 @@
 
 // passLong passes on a response that is too long to be buffered. prefix is the part that has been read.
 func (c *call) passLong(prefix []byte) chart.Event {
-	c.recordPartsServed()
+	c.writingSince = time.Now()
 	c.relay.whole = true
 	c.writeHead(c.response.Status, c.response.Header, c.response.Length)
 	c.watch.onBlocked = c.readAhead
@@ -148,6 +148,7 @@
 		}
 		if err == io.EOF {
 			c.recordServed()
+			c.recordPartsServed()
 			c.closeResponse(Outcome{FirstByte: c.firstByte})
 			return eventDone
 		}
@@ -172,9 +173,9 @@
 				return c.responseCut(err)
 			}
 			if len(complete) > 0 {
-				c.recordPartsServed()
-			}
-			if len(complete) > 0 {
+				if c.writingSince.IsZero() {
+					c.writingSince = time.Now()
+				}
 				if err := c.writeEvents(complete); err != nil {
 					return c.callerLeft(err)
 				}
@@ -230,7 +231,7 @@
 func (c *call) endStream() chart.Event {
 	c.watch.onBlocked = nil
 	rest := c.relay.events.rest()
-	if len(bytes.TrimSpace(rest)) > 0 || !c.partsServed && !c.response.Framed() {
+	if len(bytes.TrimSpace(rest)) > 0 || c.writingSince.IsZero() && !c.response.Framed() {
 		return c.responseCut(errStreamCut)
 	}
 	if !c.relay.headSent {
@@ -241,6 +242,7 @@
 		_ = c.write(rest, false)
 	}
 	c.recordServed()
+	c.recordPartsServed()
 	c.closeResponse(c.streamOutcome())
 	return eventDone
 }
--- a/pkg/gateway/send.go
+++ b/pkg/gateway/send.go
@@ -29,8 +29,7 @@
 		c.endPlacement(Outcome{Canceled: true})
 		return c.tryAnother(result.New(result.NoEndpoint, "the endpoint has another software version than the stream"), false)
 	}
-	c.partsServed = false
-	c.sentAt, c.headAt, c.partAt = time.Now(), time.Time{}, time.Time{}
+	c.sentAt, c.headAt, c.partAt, c.writingSince = time.Now(), time.Time{}, time.Time{}, time.Time{}
 	c.sentBy = c.g.cfg.Updates()
 	e := c.placement.Endpoint
 	target := upstream.Target{ID: e.ID, Started: e.Started, Address: e.Address}
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -36,11 +36,11 @@
 	Responded(id roster.Incarnation, sent time.Time)
 	// AdmitParts decides whether a request with the parts in its prompt may be sent. See suspect.Detector.AdmitParts.
 	AdmitParts(ctx context.Context, parts []string, granted uint64) (decision suspect.Decision, held suspect.HeldPart, trial uint64)
-	// PartsServed records that an endpoint has sent a part of its answer to the request.
+	// PartsServed records that an endpoint has completed its answer to the request.
 	PartsServed(id, account string, parts []string)
-	// PartsLost records that the endpoint closed or reset the connection of a request, sent at the given time, before
-	// it had sent a part of its answer.
-	PartsLost(e roster.Endpoint, account string, parts []string, sent time.Time)
+	// PartsLost records that the endpoint closed or reset the connection of a request, sent at the given time, before its answer was
+	// complete. writing is for how long it had been writing the answer; 0 if it had not begun to.
+	PartsLost(e roster.Endpoint, account string, parts []string, sent time.Time, writing time.Duration)
 	// ConnectionLost records that the endpoint closed or reset the connection of a request, sent at the given time,
 	// before the response was complete. running is for how long the endpoint had been responding.
 	ConnectionLost(e roster.Endpoint, account string, fingerprint uint64, sent time.Time, running time.Duration)
@@ -129,14 +129,15 @@
 	if c.ctx.Err() != nil || !upstream.ConnectionClosed(err) {
 		return
 	}
-	var running time.Duration
+	var running, writing time.Duration
 	if !c.headAt.IsZero() {
 		running = time.Since(c.headAt)
 	}
-	c.maybeCrashed = &c.placement.Endpoint.Incarnation
-	if !c.partsServed {
-		c.g.cfg.Suspects.PartsLost(c.placement.Endpoint, c.account, c.sharedParts(), c.sentAt)
+	if !c.writingSince.IsZero() {
+		writing = time.Since(c.writingSince)
 	}
+	c.maybeCrashed = &c.placement.Endpoint.Incarnation
+	c.g.cfg.Suspects.PartsLost(c.placement.Endpoint, c.account, c.sharedParts(), c.sentAt, writing)
 	c.g.cfg.Suspects.ConnectionLost(c.placement.Endpoint, c.account, c.fingerprint(), c.sentAt, running)
 }
 
@@ -199,11 +200,11 @@
 	return e
 }
 
-// recordPartsServed records that the endpoint has sent a part of its answer, unless it answers with an error.
+// recordPartsServed records that the endpoint has completed its answer, unless that is an error. The beginning of an answer shows
+// nothing: a part may crash each endpoint that has begun to write one.
 func (c *call) recordPartsServed() {
-	if c.partsServed || c.response.Status >= http.StatusMultipleChoices {
+	if c.response.Status >= http.StatusMultipleChoices {
 		return
 	}
-	c.partsServed = true
 	c.g.cfg.Suspects.PartsServed(c.terms.ID, c.account, c.sharedParts())
 }
--- a/pkg/suspect/detector_test.go
+++ b/pkg/suspect/detector_test.go
@@ -197,11 +197,11 @@
 		d := newTestDetector(t, p)
 		p.listed["evacuated"] = Evacuated
 		d.ConnectionLost(testEndpoint("evacuated"), account, fp, time.Now(), 0)
-		d.PartsLost(testEndpoint("evacuated"), account, []string{"part"}, time.Now())
+		d.PartsLost(testEndpoint("evacuated"), account, []string{"part"}, time.Now(), 0)
 		require.True(t, d.NoSuspects())
 
 		d.ConnectionLost(testEndpoint("e"), account, fp, time.Now(), 0)
-		d.PartsLost(testEndpoint("e"), account, []string{"part"}, time.Now())
+		d.PartsLost(testEndpoint("e"), account, []string{"part"}, time.Now(), 0)
 		time.Sleep(presumeCrashedAfter / 2)
 		requireCrashes(t, d, 1, 0)
 		p.mu.Lock()
--- a/pkg/suspect/part_admission.go
+++ b/pkg/suspect/part_admission.go
@@ -40,8 +40,8 @@
 	return true
 }
 
-// PartsServed records that an endpoint has sent a part of its answer to a request with the parts in its prompt, which shows that
-// the parts do not crash every endpoint. id is the request's identifier, for the log.
+// PartsServed records that an endpoint has completed its answer to a request with the parts in its prompt, which shows that the parts
+// do not crash every endpoint. id is the request's identifier, for the log.
 func (d *Detector) PartsServed(id, account string, parts []string) {
 	if len(parts) == 0 {
 		return
@@ -51,7 +51,7 @@
 		d.metrics.partsCleared.Inc(1)
 		fields := part.logFields("part_cleared")
 		fields["id"], fields["was_held"] = id, part.WasHeld
-		d.cfg.Log.WithFields(fields).Info("endpoint has begun its answer to a request with the part; its crashes are cleared")
+		d.cfg.Log.WithFields(fields).Info("endpoint has completed its answer to a request with the part; its crashes are cleared")
 	}
 	if len(cleared) > 0 {
 		d.onPartChange()
--- a/pkg/suspect/parts.go
+++ b/pkg/suspect/parts.go
@@ -48,8 +48,8 @@
 )
 
 // PartTable records crashes of endpoints for the parts of prompts, which different requests share. A part is held, and requests
-// with it are refused, once partCrashes endpoints have crashed while requests with it had received nothing, and it has not been
-// served since. It is safe for concurrent use.
+// with it are refused, once partCrashes endpoints have crashed before they answered requests with it, or as they began to, and it has
+// not been served since: no answer to a request with it was complete. It is safe for concurrent use.
 type PartTable struct {
 	self string
 	// size is the number of entries. It is read without mu, so that requests cost nothing extra while there are none.
@@ -191,8 +191,8 @@
 	return h
 }
 
-// AddObservedCrash records a crash that this VM has seen, of an endpoint from which a request of the account with the part had
-// received nothing. The crash counts from ConfirmCrash on.
+// AddObservedCrash records a crash that this VM has seen, of an endpoint that had not answered a request of the account with the part,
+// or had just begun to. The crash counts from ConfirmCrash on.
 func (t *PartTable) AddObservedCrash(now time.Time, account, part, crash string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -239,7 +239,7 @@
 	WasHeld bool
 }
 
-// Served records that an endpoint has sent a part of its answer to a request of the account with the parts. It returns the parts
+// Served records that an endpoint has completed its answer to a request of the account with the parts. It returns the parts
 // that this has cleared of crashes.
 func (t *PartTable) Served(now time.Time, account string, parts []string) []ClearedPart {
 	t.served.add(account, parts, now)
--- a/pkg/suspect/parts_test.go
+++ b/pkg/suspect/parts_test.go
@@ -477,7 +477,7 @@
 // crashPart makes an endpoint crash while it runs a request of the VM with the parts.
 func (f *testFleet) crashPart(vm int, id string, parts ...string) {
 	f.endpoints.set(id, Terminated)
-	f.vms[vm].detector.PartsLost(testEndpoint(id), account, parts, time.Now())
+	f.vms[vm].detector.PartsLost(testEndpoint(id), account, parts, time.Now(), 0)
 }
 
 // requirePart requires that every VM takes the given decision on each of the parts, without a trial.
