A failure does not clear a request that crashes endpoints

Cause: each whole response, a failure too, counted as evidence that the request is sound, on all VMs. Change: a status of 500 or more is no evidence. The endpoint may not have begun to run the request. Evidence: TestFailureDoesNotClearARequestThatCrashesEndpoints fails without the change (code 3002 in place of 2006).

--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -145,8 +145,12 @@
 // bytes. Larger bodies hardly ever recur, and fingerprinting them takes long.
 const maxRecordedBody = 256 << 10
 
-// recordServed records that an endpoint has responded to the request completely.
+// recordServed records that an endpoint has responded to the request completely. A failure is no evidence: the endpoint may not have
+// begun to run the request.
 func (c *call) recordServed() {
+	if retryableStatus(c.response.Status) {
+		return
+	}
 	if len(c.body) <= maxRecordedBody || !c.g.cfg.Suspects.NoSuspects() {
 		c.g.cfg.Suspects.Served(c.fingerprint())
 	}
--- a/pkg/gateway/suspects_test.go
+++ b/pkg/gateway/suspects_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// Guards against a request that crashes endpoints and goes on to be sent because one endpoint has failed it instead: a status 500
+// neither clears the crashes before it, nor makes the ones after it a coincidence.
+func TestFailureDoesNotClearARequestThatCrashesEndpoints(t *testing.T) {
+	failing := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	b := newTestbed(t, failing, drop, failing, drop, drop, drop)
+	b.prober = endedProber{}
+	for range 5 {
+		b.do("/unsafe/x", nil, "fatal")
+		b.dispatcher.endpoints = b.dispatcher.endpoints[1:]
+	}
+	require.Equal(t, 5, b.arrivals())
+	a := b.do("/unsafe/x", nil, "fatal")
+	require.Equal(t, strconv.Itoa(int(result.Suspect)), a.header.Get(headerCode))
+	require.Equal(t, 5, b.arrivals())
+}
+
 // A suspect that finds other suspects at every endpoint does not wait long.
 func TestSuspectDoesNotWaitForOthers(t *testing.T) {
 	b := newTestbed(t, respondWith("whole"))
