Listings under way do not delay the keeper of versions, and a settled store is trusted at a start

The mirror answers from its copy only while no listing is under way, so that a slow store delayed the records of streams; a VM that starts held back what the store said although its generation had settled, as the leases were not known yet when the first list came; requests waited for the first read of the rows at any time, not only at a start. Change: the copy is read apart, settledness is asked again, and the wait ends a second after the start.

--- a/pkg/dispatch/software/keeper.go
+++ b/pkg/dispatch/software/keeper.go
@@ -28,9 +28,9 @@
 	// steadyReadInterval is the time between two reads of the rows while a group has several versions and nothing changes.
 	steadyReadInterval = time.Second
 	// startRead is how long a VM that starts waits for a listing of the fleet's table before it reads the rows for itself, and
-	// startWait how long a request waits for that.
+	// startWait how long after the start requests wait for that.
 	startRead = 150 * time.Millisecond
-	startWait = 300 * time.Millisecond
+	startWait = time.Second
 	// commitTimeout bounds the write of a row.
 	commitTimeout = 2 * time.Second
 	// otherWriterDelay, plus as much at most by chance, is after how long other VMs than the first one write a row that is due.
@@ -101,7 +101,8 @@
 
 // Keeper knows the software versions of streams at one VM. It is safe for concurrent use.
 type Keeper struct {
-	cfg Config
+	cfg     Config
+	started time.Time
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -118,6 +119,8 @@
 	generation uint64
 	hasSeen    bool
 	heldUntil  time.Time
+	// heldAtStart says that this VM does not know whether the store has returned, because it has just started.
+	heldAtStart bool
 	listedAt   time.Time // when the first list was applied
 	due        map[string]time.Time
 	// writing says that rows are being written.
@@ -143,7 +146,7 @@
 // NewKeeper returns a Keeper that knows nothing yet.
 func NewKeeper(cfg Config) *Keeper {
 	return &Keeper{
-		cfg: cfg, groups: map[string]*group{}, software: map[string]string{}, memory: newMemory(), due: map[string]time.Time{},
+		cfg: cfg, started: time.Now(), groups: map[string]*group{}, software: map[string]string{}, memory: newMemory(), due: map[string]time.Time{},
 		told: map[string]groupStage{}, malformed: map[string]uint64{},
 	}
 }
@@ -168,11 +171,11 @@
 // enter records the generation of the store. It returns true if the store has returned from an older copy. k.mu is held.
 func (k *Keeper) enter(generation uint64, now time.Time) bool {
 	first, returned := !k.hasSeen, k.hasSeen && generation > k.generation
-	if first && generation > 0 && !k.cfg.Settled(generation) {
-		k.heldUntil = now.Add(k.cfg.Timing.Hold)
+	if first && generation > 0 {
+		k.heldUntil, k.heldAtStart = now.Add(k.cfg.Timing.Hold), true
 	}
 	if returned {
-		k.heldUntil = now.Add(k.cfg.Timing.Hold)
+		k.heldUntil, k.heldAtStart = now.Add(k.cfg.Timing.Hold), false
 		k.cfg.Log.WithFields(logrus.Fields{"event": "software_held", "generation": generation, "held_for": k.cfg.Timing.Hold}).
 			Warn("the store has returned from an older copy; its rows of software versions are not valid yet")
 	}
@@ -223,6 +226,13 @@
 // validAt returns the time up to which what the store says is valid, if it was current at a time: not while it may have lost
 // rows. k.mu is held.
 func (k *Keeper) validAt(current, now time.Time) time.Time {
+	if k.heldAtStart && k.cfg.Settled(k.generation) {
+		// Other VMs have been there since the store returned.
+		k.heldUntil, k.heldAtStart = time.Time{}, false
+		for _, g := range k.groups {
+			g.unproven = time.Time{}
+		}
+	}
 	if now.Before(k.heldUntil) {
 		return time.Time{}
 	}
@@ -313,7 +323,7 @@
 
 // awaitStart waits briefly until the rows have been read for the first time.
 func (k *Keeper) awaitStart(ctx context.Context) {
-	for end := time.Now().Add(startWait); time.Now().Before(end) && ctx.Err() == nil; {
+	for time.Since(k.started) < startWait && ctx.Err() == nil {
 		k.mu.Lock()
 		has := k.hasRead()
 		k.mu.Unlock()
@@ -424,11 +434,14 @@
 
 // Run reads and writes rows, and sends records of streams to their homes, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	swept := time.Now()
-	clock.Every(ctx, tick, func(now time.Time) {
+	// A listing under way may take long.
+	go clock.Every(ctx, tick, func(time.Time) {
 		if rows, sent, generation := k.cfg.Listed(rowPrefix); !sent.IsZero() {
 			k.applyRows(rows, sent, generation)
 		}
+	})
+	swept := time.Now()
+	clock.Every(ctx, tick, func(now time.Time) {
 		if k.readDue(now) {
 			go k.refresh(ctx)
 		}
