--- a/pkg/dispatch/software/keeper.go
+++ b/pkg/dispatch/software/keeper.go
@@ -121,8 +121,8 @@
 	heldUntil  time.Time
 	// heldAtStart says that this VM does not know whether the store has returned, because it has just started.
 	heldAtStart bool
-	listedAt   time.Time // when the first list was applied
-	due        map[string]time.Time
+	listedAt    time.Time // when the first list was applied
+	due         map[string]time.Time
 	// writing says that rows are being written.
 	writing bool
 	journal journal
