Tables of versions that the store loses are kept, whatever shows the loss first

Cause: found by reading. If the list of endpoints was the first to show that the store had returned from an older copy, the next read of the rows was taken for one of the same generation: tables that were missing in it were dropped, although streams had begun by them. Change: the generation of the rows is kept apart from that of the list. Comments that a move had left behind are back. Evidence: TestTablesThatTheStoreLosesAreKept fails without the change ('Expected value not to be nil'). The model's returns go further back.

--- a/pkg/dispatch/software/group.go
+++ b/pkg/dispatch/software/group.go
@@ -308,7 +308,6 @@
 	return ok && told == version
 }
 
-// plan returns the row as it should be, nil for none, and whether that differs from what the fleet's table holds. newID names a new
 // stage returns what decides whether the homes of the group's streams need records.
 func (g *group) stage(now time.Time) groupStage {
 	s := groupStage{outdated: g.age(now) >= g.timing.Bound, changing: g.row == nil && g.newcomers() > 0}
--- a/pkg/dispatch/software/keeper.go
+++ b/pkg/dispatch/software/keeper.go
@@ -96,7 +96,9 @@
 	// readSent is when the last read that was applied was sent, readTried when this VM last tried to read for itself; reading is
 	// closed when the read under way has ended, nil without one.
 	readSent, readTried time.Time
-	reading             chan struct{}
+	// rowsGeneration is the generation of the rows that were read last.
+	rowsGeneration uint64
+	reading        chan struct{}
 	// generation is that of the store, as last seen in a list or a read; heldUntil is the time before which nothing that the
 	// store says is valid, because it has returned from an older copy.
 	generation uint64
@@ -139,9 +141,10 @@
 	g := k.groups[name]
 	if g == nil {
 		g = newGroup(k.cfg.Timing)
-		if k.hasRead() {
-			g.known, g.unproven = k.readSent, k.heldUntil
+		if k.hasRead() && !time.Now().Before(k.heldUntil) {
+			g.known = k.readSent
 		}
+		g.unproven = k.heldUntil
 		g.fresh = k.cfg.FirstStart()
 		k.groups[name] = g
 	}
@@ -151,8 +154,8 @@
 // hasRead reports whether the rows have been read. k.mu is held.
 func (k *Keeper) hasRead() bool { return !k.readSent.IsZero() }
 
-// enter records the generation of the store. It returns true if the store has returned from an older copy. k.mu is held.
-func (k *Keeper) enter(generation uint64, now time.Time) bool {
+// enter records the generation of the store. k.mu is held.
+func (k *Keeper) enter(generation uint64, now time.Time) {
 	first, returned := !k.hasSeen, k.hasSeen && generation > k.generation
 	if first && generation > 0 {
 		k.heldUntil, k.heldAtStart = now.Add(k.cfg.Timing.Hold), true
@@ -165,7 +168,6 @@
 	if first || returned {
 		k.generation, k.hasSeen = generation, true
 	}
-	return returned
 }
 
 // List applies a list of endpoints, read at a position of its table, that was current at the time confirmed.
@@ -222,11 +224,6 @@
 	return current
 }
 
-// applyRows applies the rows of all groups as read by a call that was sent at a time.
-// distrust makes this VM, which has just started, take up nothing by the one version that is listed for as long as a stream may live:
-// the store may have lost the rows. k.mu is held.
-// decode returns a row, nil if there is none. k.mu is held.
-// logRow logs a row that has changed. k.mu is held.
 // Begin returns the version at which a stream begins. The error is an *Unknown.
 func (k *Keeper) Begin(ctx context.Context, group, id string) (Decision, error) {
 	k.awaitStart(ctx)
@@ -379,11 +376,3 @@
 		}
 	})
 }
-
-// readDue reports whether this VM is to read the rows for itself.
-// refresh reads the rows, or waits for the read that is under way.
-// writeDue writes the rows that are due, one for each group.
-// isDue reports whether this VM is to write the row of a group now. k.mu is held.
-// write writes the row of a group, or deletes it.
-// GroupState describes the software versions of a group as this VM knows them.
-// State describes the groups with resumable streams.
--- a/pkg/dispatch/software/model_test.go
+++ b/pkg/dispatch/software/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
@@ -461,7 +462,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.backups) > 0 {
-		m.rows = maps.Clone(m.backups[max(0, len(m.backups)-3)])
+		m.rows = maps.Clone(m.backups[max(0, len(m.backups)-2-m.rng.IntN(5))])
 		m.generation++
 		m.event("store returns with %s", m.rows[rowPrefix+modelGroup].Value)
 	}
@@ -734,6 +735,37 @@
 	}
 }
 
+// Guards against tables that are forgotten because the store has returned from an older copy, if the list of endpoints is the first to
+// show it: the VM keeps what it knows, and decides nothing by the store until all have written again what it has lost.
+func TestTablesThatTheStoreLosesAreKept(t *testing.T) {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	k := NewKeeper(Config{
+		Self: "vm", Settled: func(uint64) bool { return false }, FirstStart: func() bool { return false },
+		Life: func(string) (time.Duration, bool) { return modelLife, true }, Timing: NewTiming(2 * time.Second), Log: log,
+	})
+	list := []roster.Endpoint{
+		{Incarnation: roster.Incarnation{ID: "a", Started: 1}, Group: modelGroup, Software: "v1", Slots: 8},
+		{Incarnation: roster.Incarnation{ID: "b", Started: 1}, Group: modelGroup, Software: "v2", Slots: 8},
+	}
+	data, err := json.Marshal(row{Tables: []Table{
+		{ID: "t0", Seq: 1, Shares: map[string]int{"v1": 32}, Settled: true}, {ID: "t1", Seq: 2, Shares: map[string]int{"v1": 16, "v2": 16}, Settled: true},
+	}})
+	require.NoError(t, err)
+	k.List(list, platform.VersionIn(0, 10), time.Now())
+	k.applyRows([]platform.Row{{Key: rowPrefix + modelGroup, Version: platform.VersionIn(0, 9), Value: data}}, time.Now(), 0)
+	_, why := k.decide(modelGroup, "s")
+	require.NotEqual(t, outOfDate, why)
+	k.List(list, platform.VersionIn(1, 5), time.Now())
+	k.applyRows(nil, time.Now(), 1)
+	g := k.groups[modelGroup]
+	require.NotNil(t, g.row)
+	require.Len(t, g.row.Tables, 2)
+	next, due := g.plan(modelLife, func() string { return "new" }, time.Now())
+	require.True(t, due, "what the store has lost is written again")
+	require.Len(t, next.Tables, 2)
+}
+
 // The model finds the faults that it guards against: tables that are used at once, and copies of any age that decide take-ups.
 func TestModelFindsStreamsOfTwoVersions(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/pkg/dispatch/software/rows.go
+++ b/pkg/dispatch/software/rows.go
@@ -30,6 +30,7 @@
 	lostRowDelay = 300 * time.Millisecond
 )
 
+// applyRows applies the rows of all groups as read by a call that was sent at a time.
 func (k *Keeper) applyRows(rows []platform.Row, sent time.Time, generation uint64) {
 	now := time.Now()
 	k.mu.Lock()
@@ -41,11 +42,13 @@
 	for _, g := range k.groups {
 		g.fresh = first && k.cfg.FirstStart() || g.fresh
 	}
-	returned := k.enter(generation, now)
+	// The list of endpoints may have shown the return before.
+	returned := !first && generation > k.rowsGeneration
+	k.enter(generation, now)
 	if first && now.Before(k.heldUntil) {
 		k.distrust(now)
 	}
-	k.readSent = sent
+	k.readSent, k.rowsGeneration = sent, generation
 	read := map[string]platform.Row{}
 	for _, r := range rows {
 		if name, ok := strings.CutPrefix(r.Key, rowPrefix); ok {
@@ -61,6 +64,8 @@
 	}
 }
 
+// distrust makes this VM, which has just started, take up nothing by the one version that is listed for as long as a stream may live:
+// the store may have lost the rows. k.mu is held.
 func (k *Keeper) distrust(now time.Time) {
 	for name, g := range k.groups {
 		life, _ := k.cfg.Life(name)
@@ -68,6 +73,7 @@
 	}
 }
 
+// decode returns a row, nil if there is none. k.mu is held.
 func (k *Keeper) decode(name string, r platform.Row, exists bool) *row {
 	if !exists {
 		return nil
@@ -83,6 +89,7 @@
 	return &decoded
 }
 
+// logRow logs a row that has changed. k.mu is held.
 func (k *Keeper) logRow(name string, g *group, before groupStage, now time.Time) {
 	if after := g.stage(now); after.newest != before.newest || after.tables != before.tables {
 		k.cfg.Log.WithFields(logrus.Fields{"event": "software_tables", "group": name, "tables": g.describe(), "version": platform.CounterOf(g.version)}).
@@ -90,6 +97,7 @@
 	}
 }
 
+// readDue reports whether this VM is to read the rows for itself.
 func (k *Keeper) readDue(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -114,6 +122,7 @@
 	return now.Sub(k.readSent) >= interval && now.Sub(k.readTried) >= min(interval, k.cfg.ReadInterval)
 }
 
+// refresh reads the rows, or waits for the read that is under way.
 func (k *Keeper) refresh(ctx context.Context) {
 	k.mu.Lock()
 	if under := k.reading; under != nil {
@@ -143,6 +152,7 @@
 	close(done)
 }
 
+// writeDue writes the rows that are due, one for each group.
 func (k *Keeper) writeDue(ctx context.Context) {
 	now := time.Now()
 	k.mu.Lock()
@@ -170,11 +180,14 @@
 	}()
 }
 
+// isDue reports whether this VM is to write the row of a group now. k.mu is held.
 func (k *Keeper) isDue(name string, now time.Time) bool {
 	g := k.groups[name]
-	life, relevant := k.cfg.Life(name)
-	_, due := g.plan(life, uuid.NewString, now)
-	if !relevant || !due || now.Before(k.heldUntil) && !g.ahead {
+	life, due := k.cfg.Life(name)
+	if due {
+		_, due = g.plan(life, uuid.NewString, now)
+	}
+	if !due || now.Before(k.heldUntil) && !g.ahead {
 		delete(k.due, name)
 		return false
 	}
@@ -189,6 +202,7 @@
 	return k.cfg.WritesFirst() || !now.Before(at)
 }
 
+// write writes the row of a group, or deletes it.
 func (k *Keeper) write(ctx context.Context, name string) {
 	k.mu.Lock()
 	g := k.groups[name]
--- a/pkg/dispatch/software/state.go
+++ b/pkg/dispatch/software/state.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// GroupState describes the software versions of a group as this VM knows them.
 type GroupState struct {
 	Group string `json:"group"`
 	// Versions are the listed versions with the slots that accept requests.
@@ -18,6 +19,7 @@
 	Streams int `json:"streams"`
 }
 
+// State describes the groups with resumable streams.
 func (k *Keeper) State() []GroupState {
 	now := time.Now()
 	k.mu.Lock()
