--- a/pkg/dispatch/software/group.go
+++ b/pkg/dispatch/software/group.go
@@ -46,8 +46,8 @@
 	// oldest is the start of the endpoint that has been up longest, in Unix milliseconds; 0 if none is listed.
 	oldest int64
 	// listed is the time at which the list was last current, since the time since which lists have followed each other within
-	// the bound. emptySince is when the group lost its last endpoint; zero while it has some.
-	listed, since, emptySince time.Time
+	// the bound.
+	listed, since time.Time
 	// row is the group's row, nil if there is none. stored is the row as last read from the fleet's table, and version its version, 0
 	// if it must be created.
 	row, stored *row
@@ -88,22 +88,22 @@
 			g.oldest = e.Started
 		}
 	}
-	switch {
-	case len(endpoints) > 0:
-		g.emptySince = time.Time{}
-	case g.emptySince.IsZero():
-		g.emptySince = now
+	g.restartSettling(now)
+	g.confirmList(confirmed)
+}
+
+// restartSettling makes tables with a version that is not listed settle anew: VMs that read no rows see a version in the lists only.
+func (g *group) restartSettling(now time.Time) {
+	if g.row == nil {
+		return
 	}
-	if g.row != nil {
-		for _, t := range g.row.Tables {
-			for version := range t.Shares {
-				if _, listed := g.slots[version]; !listed && !t.Settled {
-					g.seen[t.ID] = now
-				}
+	for _, t := range g.row.Tables {
+		for version := range t.Shares {
+			if _, listed := g.slots[version]; !listed && !t.Settled {
+				g.seen[t.ID] = now
 			}
 		}
 	}
-	g.confirmList(confirmed)
 }
 
 // confirmList records that the list as last applied was current at a time. If it shows one version, as lists shortly before
