A VM that starts after a return of the store takes up nothing by tables for as long as a stream may live

A VM that starts after the store has returned from an older copy distrusted the one listed version for the life of a stream, but trusted the tables after B + 1 s, although no VM may be left that knows the newest one. Change: the same time holds for tables. The VMs' memories and journals go on to decide; a generation that has settled is trusted. Evidence: TestVMThatStartsAfterAReturnDoesNotTrustTheTables fails without the change.

--- a/pkg/dispatch/software/group.go
+++ b/pkg/dispatch/software/group.go
@@ -55,7 +55,7 @@
 	// known is the time at which the row, or that there was none, was last certainly current; zero if it is not known.
 	known time.Time
 	// sole is the version at which all streams have begun if there is no row; hasSole says that it is known. unproven is the time
-	// before which it decides no take-up.
+	// before which neither it nor the row decides a take-up: the store may have lost tables by which streams have begun.
 	sole     string
 	hasSole  bool
 	unproven time.Time
@@ -272,14 +272,14 @@
 
 // takeUp returns the version at which a stream has begun, and by which source. now must be read after the request arrived.
 func (g *group) takeUp(key Key, now time.Time) (version, source string, why reason) {
-	if g.age(now) >= g.timing.Bound {
+	if g.age(now) >= g.timing.Bound || now.Before(g.unproven) {
 		return "", "", outOfDate
 	}
 	if g.row == nil {
 		switch {
 		case !g.hasSole:
 			return "", "", ambiguous
-		case now.Before(g.unproven) || !g.proven(now):
+		case !g.proven(now):
 			return "", "", outOfDate
 		}
 		return g.sole, SourceSole, decided
--- a/pkg/dispatch/software/model_test.go
+++ b/pkg/dispatch/software/model_test.go
@@ -735,9 +735,9 @@
 	}
 }
 
-// Guards against tables that are forgotten because the store has returned from an older copy, if the list of endpoints is the first to
-// show it: the VM keeps what it knows, and decides nothing by the store until all have written again what it has lost.
-func TestTablesThatTheStoreLosesAreKept(t *testing.T) {
+// twoVersions returns the keeper of a VM that has just started, a list of endpoints and the rows of the fleet's table.
+func twoVersions(t *testing.T) (*Keeper, []roster.Endpoint, []platform.Row) {
+	t.Helper()
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	k := NewKeeper(Config{
@@ -752,8 +752,15 @@
 		{ID: "t0", Seq: 1, Shares: map[string]int{"v1": 32}, Settled: true}, {ID: "t1", Seq: 2, Shares: map[string]int{"v1": 16, "v2": 16}, Settled: true},
 	}})
 	require.NoError(t, err)
+	return k, list, []platform.Row{{Key: rowPrefix + modelGroup, Version: platform.VersionIn(0, 9), Value: data}}
+}
+
+// Guards against tables that are forgotten because the store has returned from an older copy, if the list of endpoints is the first to
+// show it: the VM keeps what it knows, and decides nothing by the store until all have written again what it has lost.
+func TestTablesThatTheStoreLosesAreKept(t *testing.T) {
+	k, list, stored := twoVersions(t)
 	k.List(list, platform.VersionIn(0, 10), time.Now())
-	k.applyRows([]platform.Row{{Key: rowPrefix + modelGroup, Version: platform.VersionIn(0, 9), Value: data}}, time.Now(), 0)
+	k.applyRows(stored, time.Now(), 0)
 	_, why := k.decide(modelGroup, "s")
 	require.NotEqual(t, outOfDate, why)
 	k.List(list, platform.VersionIn(1, 5), time.Now())
@@ -766,6 +773,31 @@
 	require.Len(t, next.Tables, 2)
 }
 
+// Guards against a take-up by tables that the store has lost the newest of: a VM that starts after the store has returned from an older
+// copy cannot know whether another VM is left that writes it again.
+func TestVMThatStartsAfterAReturnDoesNotTrustTheTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k, list, stored := twoVersions(t)
+		agreeing := ""
+		for i := 0; agreeing == ""; i++ {
+			if version, _ := (Table{Shares: map[string]int{"v1": 16, "v2": 16}}).VersionOf(KeyOf(modelGroup, fmt.Sprint(i))); version == "v1" {
+				agreeing = fmt.Sprint(i)
+			}
+		}
+		read := func() reason {
+			k.List(list, platform.VersionIn(1, 10), time.Now())
+			k.applyRows(stored, time.Now(), 1)
+			_, why := k.decide(modelGroup, agreeing)
+			return why
+		}
+		for began := time.Now(); time.Since(began) < modelLife; time.Sleep(time.Second) {
+			require.Equal(t, outOfDate, read())
+		}
+		time.Sleep(k.cfg.Timing.Hold)
+		require.Equal(t, decided, read(), "streams of then are over")
+	})
+}
+
 // The model finds the faults that it guards against: tables that are used at once, and copies of any age that decide take-ups.
 func TestModelFindsStreamsOfTwoVersions(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/pkg/dispatch/software/rows.go
+++ b/pkg/dispatch/software/rows.go
@@ -45,10 +45,6 @@
 	// The list of endpoints may have shown the return before.
 	returned := !first && generation > k.rowsGeneration
 	k.enter(generation, now)
-	if first && now.Before(k.heldUntil) {
-		k.distrust(now)
-	}
-	k.readSent, k.rowsGeneration = sent, generation
 	read := map[string]platform.Row{}
 	for _, r := range rows {
 		if name, ok := strings.CutPrefix(r.Key, rowPrefix); ok {
@@ -56,6 +52,10 @@
 			k.group(name)
 		}
 	}
+	if first && now.Before(k.heldUntil) {
+		k.distrust(now)
+	}
+	k.readSent, k.rowsGeneration = sent, generation
 	for name, g := range k.groups {
 		before := g.stage(now)
 		r, exists := read[name]
@@ -64,8 +64,8 @@
 	}
 }
 
-// distrust makes this VM, which has just started, take up nothing by the one version that is listed for as long as a stream may live:
-// the store may have lost the rows. k.mu is held.
+// distrust makes this VM, which has just started, take up nothing by rows or by the one version that is listed for as long as a stream may
+// live: the store may have lost tables, and no VM may be left that knows them. k.mu is held.
 func (k *Keeper) distrust(now time.Time) {
 	for name, g := range k.groups {
 		life, _ := k.cfg.Life(name)
