Trials of a held part are counted in the tests of crashing parts

Cause: the test took longer than a second, after which one trial of a held part is due; with 300 ms more before each request the trace shows 'trials 1 fatal 4', each time. The check asks for three requests and the trials that the table has counted.

--- a/pkg/gateway/parts_test.go
+++ b/pkg/gateway/parts_test.go
@@ -33,6 +33,17 @@
 	return len(b.partTable.ReportsOf(time.Now(), suspect.PartFingerprint(part)))
 }
 
+// trialsOf returns how many requests have been sent as trials of a held part. The first trial is due a second after the last crash, which
+// a test on a busy machine may take.
+func (b *testbed) trialsOf(part string) int {
+	for _, held := range b.partTable.Held(time.Now()) {
+		if held.Part == part {
+			return held.Trials
+		}
+	}
+	return 0
+}
+
 // Requests that are all different, and crash every endpoint that begins to respond to them through one part of their prompts,
 // must be refused after a few crashes. Requests with their other parts must be served all the while.
 func TestRequestsThatShareACrashingPartAreRefused(t *testing.T) {
@@ -83,7 +94,7 @@
 				}
 				require.Equal(t, 503, a.status)
 			}
-			require.Equal(t, 3, fatal, "requests with the part that reached the endpoint")
+			require.Equal(t, 3+b.trialsOf("bad"), fatal, "requests with the part that reached the endpoint")
 		})
 	}
 }
@@ -126,7 +137,7 @@
 		require.Equal(t, 503, a.status)
 		require.Equal(t, string(result.NotRun), a.header.Get(headerOutcome))
 	}
-	require.Equal(t, 3, fatal, "requests with the part that reached the endpoint")
+	require.Equal(t, 3+b.trialsOf("bad"), fatal, "requests with the part that reached the endpoint")
 }
 
 // Guards against sound parts that only long streams have: endpoints that end long after they have begun to write, for whatever reason,
