Keeper of software versions checks twice a second while each group has one version; served parts take less memory

Change: the loops pause 0.5 s while all groups are calm, and a list that shows another version wakes them; the times of served parts count from a base. No bound is changed.

--- a/pkg/dispatch/software/keeper.go
+++ b/pkg/dispatch/software/keeper.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// tick is the time between two checks of what is to be read, written or sent.
-	tick = 50 * time.Millisecond
+	// tick is the time between two checks of what is to be read, written or sent, calmTick the same while each group has one version.
+	tick     = 50 * time.Millisecond
+	calmTick = 500 * time.Millisecond
 	// startWait is how long after the start of the process requests wait for the first read of the rows.
 	startWait = time.Second
 	// sweepPeriod is the time between two passes that forget streams that are over.
@@ -86,6 +87,8 @@
 type Keeper struct {
 	cfg     Config
 	started time.Time
+	// wake ends the wait for the next check.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -131,7 +134,7 @@
 // NewKeeper returns a Keeper that knows nothing yet.
 func NewKeeper(cfg Config) *Keeper {
 	return &Keeper{
-		cfg: cfg, started: time.Now(), groups: map[string]*group{}, software: map[string]string{}, memory: newMemory(), due: map[string]time.Time{},
+		cfg: cfg, started: time.Now(), wake: make(chan struct{}, 1), groups: map[string]*group{}, software: map[string]string{}, memory: newMemory(), due: map[string]time.Time{},
 		stages: map[string]groupStage{}, malformed: map[string]uint64{},
 	}
 }
@@ -196,6 +199,25 @@
 			g.findSole()
 		}
 	}
+	if !k.calm(now) {
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// calm reports whether each group has one version, and this VM knows so. k.mu is held.
+func (k *Keeper) calm(now time.Time) bool {
+	if !k.hasRead() || now.Before(k.heldUntil) || len(k.journal.keys) > 0 {
+		return false
+	}
+	for name, g := range k.groups {
+		if _, relevant := k.cfg.Life(name); relevant && (g.row != nil || g.changing() || g.age(now) >= k.cfg.Timing.Bound) {
+			return false
+		}
+	}
+	return true
 }
 
 // Confirm records that the list as last applied was current at a time.
@@ -355,13 +377,13 @@
 // Run reads and writes rows, and sends records of streams to their homes, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	// A listing under way may take long.
-	go clock.Every(ctx, tick, func(time.Time) {
+	go k.loop(ctx, nil, func(time.Time) {
 		if rows, sent, generation := k.cfg.Listed(rowPrefix); !sent.IsZero() {
 			k.applyRows(rows, sent, generation)
 		}
 	})
 	swept := time.Now()
-	clock.Every(ctx, tick, func(now time.Time) {
+	k.loop(ctx, k.wake, func(now time.Time) {
 		if k.readDue(now) {
 			go k.refresh(ctx)
 		}
@@ -376,3 +398,25 @@
 		}
 	})
 }
+
+// loop calls do regularly, and when wake says so, until ctx ends.
+func (k *Keeper) loop(ctx context.Context, wake <-chan struct{}, do func(now time.Time)) {
+	for {
+		k.mu.Lock()
+		pause := time.Duration(tick)
+		if k.calm(time.Now()) {
+			pause = calmTick
+		}
+		k.mu.Unlock()
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-wake:
+			timer.Stop()
+		case <-timer.C:
+		}
+		do(time.Now())
+	}
+}
--- a/pkg/suspect/served_parts.go
+++ b/pkg/suspect/served_parts.go
@@ -19,13 +19,15 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 
-	current, previous map[uint64]time.Time
+	// base is the time of the first part; the times of the others count from it, which takes a third of the memory.
+	base              time.Time
+	current, previous map[uint64]time.Duration
 	perAccount        map[string]int
 	currentSince      time.Time
 }
 
 func newServedParts() *servedParts {
-	return &servedParts{current: map[uint64]time.Time{}, perAccount: map[string]int{}}
+	return &servedParts{current: map[uint64]time.Duration{}, perAccount: map[string]int{}}
 }
 
 // add records that a request of the account with the parts was served. A new part is ignored if the account, or the current
@@ -33,7 +35,11 @@
 func (s *servedParts) add(account string, parts []string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.base.IsZero() {
+		s.base = now
+	}
 	s.rotate(now)
+	since := now.Sub(s.base)
 	for _, part := range parts {
 		fingerprint := PartFingerprint(part)
 		if _, known := s.current[fingerprint]; !known {
@@ -42,7 +48,7 @@
 			}
 			s.perAccount[account]++
 		}
-		s.current[fingerprint] = now
+		s.current[fingerprint] = since
 	}
 }
 
@@ -50,10 +56,14 @@
 func (s *servedParts) at(fingerprint uint64) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if at, ok := s.current[fingerprint]; ok {
-		return at
+	since, ok := s.current[fingerprint]
+	if !ok {
+		since, ok = s.previous[fingerprint]
+	}
+	if !ok {
+		return time.Time{}
 	}
-	return s.previous[fingerprint]
+	return s.base.Add(since)
 }
 
 // rotate starts a new generation if the current one is older than servedPartsPeriod. s.mu is held.
@@ -61,6 +71,6 @@
 	if now.Sub(s.currentSince) < servedPartsPeriod {
 		return
 	}
-	s.previous, s.current = s.current, map[uint64]time.Time{}
+	s.previous, s.current = s.current, map[uint64]time.Duration{}
 	s.perAccount, s.currentSince = map[string]int{}, now
 }
