One choice of home VMs by rendezvous hash, for crash reports and for streams

Cause: found on reading the whole change: pkg/dispatch/software had written again what pkg/suspect had, and sorted all VMs for it. Change: membership.Homes serves both. The homes of crash reports stay the same in builds that serve side by side.

--- a/pkg/dispatch/software/homes.go
+++ b/pkg/dispatch/software/homes.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
@@ -54,28 +53,7 @@
 
 // homesOf returns the homes of a stream among the VMs.
 func homesOf(members []membership.Member, key Key) []membership.Member {
-	type scored struct {
-		membership.Member
-		score uint64
-	}
-	var list []scored
-	text := "/" + strconv.FormatUint(uint64(key), 16)
-	for _, m := range members {
-		if !m.Gone {
-			list = append(list, scored{m, xxhash.Sum64String(m.ID + text)})
-		}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
-	homes := make([]membership.Member, 0, homesPerStream)
-	for _, m := range list[:min(len(list), homesPerStream)] {
-		homes = append(homes, m.Member)
-	}
-	return homes
+	return membership.Homes(members, "/"+strconv.FormatUint(uint64(key), 16), homesPerStream)
 }
 
 // sendRecords sends the streams whose version does not follow from the tables to their homes.
--- a/pkg/suspect/syncer.go
+++ b/pkg/suspect/syncer.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
@@ -290,24 +289,9 @@
 // homesOf returns the IDs of the VMs that count a request's crashes, by rendezvous hash of ID and fingerprint, in order of
 // preference.
 func homesOf(members []membership.Member, fingerprint uint64) []string {
-	var best [homesPerRequest]uint64
 	homes := make([]string, 0, homesPerRequest)
-	text := FormatFingerprint(fingerprint)
-	for _, m := range members {
-		if m.Gone {
-			continue
-		}
-		score := xxhash.Sum64String(m.ID + text)
-		at := 0
-		for at < len(homes) && best[at] >= score {
-			at++
-		}
-		if at == homesPerRequest {
-			continue
-		}
-		homes = slices.Insert(homes, at, m.ID)[:min(len(homes)+1, homesPerRequest)]
-		copy(best[at+1:], best[at:])
-		best[at] = score
+	for _, m := range membership.Homes(members, FormatFingerprint(fingerprint), homesPerRequest) {
+		homes = append(homes, m.ID)
 	}
 	return homes
 }
