A crash counts against parts only within 0.1 s of the first part of an answer

What callers would see: a sound part that streams at several endpoints have is held when these end at once, and requests with it are refused; the VMs send each other ten times as many reports. Cause: counted a crash for streams up to a second old, as whole requests do; most streams in flight are younger. Change: maxCrashDelay, the time in which a lost connection shows that the endpoint has crashed as it began to write.

--- a/pkg/suspect/detector.go
+++ b/pkg/suspect/detector.go
@@ -239,10 +239,10 @@
 
 // PartsLost records that the connection of a request, sent at the given time, was lost on the endpoint's side before the answer was
 // complete. parts are those of the request's prompt that other requests may share. writing is for how long the endpoint had been
-// writing the answer: a part that crashes endpoints as they begin to write does so before minSafeRunTime, but that an endpoint lives
+// writing the answer: a part that crashes endpoints as they begin to write does so within maxCrashDelay, but that an endpoint lives
 // longer clears no part, since what it wrote may arrive late.
 func (d *Detector) PartsLost(e roster.Endpoint, account string, parts []string, sent time.Time, writing time.Duration) {
-	if len(parts) == 0 || writing >= minSafeRunTime || !d.checkable(e) {
+	if len(parts) == 0 || writing >= maxCrashDelay || !d.checkable(e) {
 		return
 	}
 	list := make([]affected, len(parts))
--- a/pkg/suspect/liveness_check.go
+++ b/pkg/suspect/liveness_check.go
@@ -31,6 +31,9 @@
 	// minSafeRunTime is how long an endpoint must have been responding to a request to show that the request does not
 	// crash endpoints as soon as they start to run it.
 	minSafeRunTime = time.Second
+	// maxCrashDelay is how long after the first part of an answer the connection of an endpoint is lost that crashes as it begins to
+	// write, with the delays of the network and of a busy VM. Most streams in flight at a crash have been written for longer.
+	maxCrashDelay = 100 * time.Millisecond
 )
 
 // livenessCheck finds out whether an endpoint has crashed, after it has lost the connection of a request.
