A lease on engines that is given up stays taken until its orders are settled

Cause: a stop, or a lease that moves, cancelled the worker's call and freed the row at once. Cancelling a call does not call its bytes back: the system goes on to repeat what the engine has not acknowledged. The same held for orders that the worker had given up after 30 to 250 ms.

Change: a call stays open after its action was given up, until a response, or until a third of the lease's duration has passed; its connection is then reset. An order is settled by a response, by not having been sent, or by time. A right that is given up is settling until its orders are settled; each lease by itself, outside the notifier. Meanwhile the VM grants permits for adapters that are loaded. The lease is checked once more when an order is written, after a dial. Leases that settle together are freed by one write.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -15,6 +15,9 @@
 // out seconds later if its condition holds by then.
 var ErrUnknown = errors.New("engine: outcome of the call unknown")
 
+// ErrBrokenOff is an ErrUnknown for which the engine is known to have received the call: the response broke off.
+var ErrBrokenOff = errors.Wrap(ErrUnknown, "response broke off")
+
 // ErrNotSent is returned if an order, or the request for a report, did not reach the engine.
 var ErrNotSent = errors.New("engine: could not be reached")
 
@@ -61,6 +64,9 @@
 	Adapter roster.Adapter
 	// Evict is set if the adapter is to be unloaded.
 	Evict bool
+	// BeforeSend, if set, is called immediately before the order is written to a connection. An error keeps it from being
+	// sent, and the call fails with ErrNotSent.
+	BeforeSend func() error
 }
 
 // Report is an engine's report of its state. It is some hundred milliseconds old when it is read.
@@ -78,8 +84,9 @@
 
 // Engines sends orders to engines and reads their reports.
 type Engines interface {
-	// Order sends one order. It fails with ErrNotSent or ErrUnknown.
+	// Order sends one order. It fails with ErrNotSent, ErrBrokenOff or ErrUnknown. When ctx ends, the system sends nothing more
+	// of the order, not even what it would repeat because packets were lost.
 	Order(ctx context.Context, target upstream.Target, order Order) (Reply, error)
-	// Report reads an engine's report. It fails with ErrNotSent or ErrUnknown.
+	// Report reads an engine's report. It fails with ErrNotSent, ErrBrokenOff or ErrUnknown.
 	Report(ctx context.Context, target upstream.Target) (Report, error)
 }
--- a/pkg/fleettest/fleet.go
+++ b/pkg/fleettest/fleet.go
@@ -46,9 +46,10 @@
 	Listener lease.Listener
 	// Services are further RPC services of the VM, by name.
 	Services map[string]any
-	// State and Note serve as the functions of the same names in the VM's lease.Config.
-	State func(name string) []byte
-	Note  func(name string) []byte
+	// State, Note and Settled serve as the functions of the same names in the VM's lease.Config.
+	State   func(name string) []byte
+	Note    func(name string) []byte
+	Settled func(name string) <-chan struct{}
 }
 
 // VM is one incarnation of a VM of a Fleet: a restart yields a new VM value with the same ID.
@@ -209,6 +210,12 @@
 			}
 			return attached.Note(name)
 		},
+		Settled: func(name string) <-chan struct{} {
+			if attached.Settled == nil {
+				return nil
+			}
+			return attached.Settled(name)
+		},
 	}
 	registry := gatedRegistry{v.Registry, v.Gate}
 	v.Manager = lease.NewManager(config, f.Table.Client(id, v.Gate), registry, v.PeerClient, v, f.Log.WithField("vm_self", id))
--- a/pkg/gatewayd/stewards.go
+++ b/pkg/gatewayd/stewards.go
@@ -34,7 +34,7 @@
 )
 
 // stewardSet tracks the stewards and the other VMs, and makes this VM a steward if there are too few. It
-// implements lease.View on every VM, steward or not. It is safe for concurrent use.
+// implements orders.Leases on every VM, steward or not. It is safe for concurrent use.
 type stewardSet struct {
 	self      relay.VM
 	table     rowLister
@@ -143,6 +143,17 @@
 	return s.leases.Held(name)
 }
 
+// Callable implements orders.Leases.
+func (s *stewardSet) Callable(name string) (lease.Grant, time.Time, bool) {
+	if !s.isSteward() {
+		return lease.Grant{}, time.Time{}, false
+	}
+	return s.leases.Callable(name)
+}
+
+// Settling implements orders.Leases.
+func (s *stewardSet) Settling(name string) bool { return s.isSteward() && s.leases.Settling(name) }
+
 // HolderOf implements lease.View.
 func (s *stewardSet) HolderOf(name string) (lease.Holder, bool) {
 	if s.isSteward() {
--- a/pkg/gatewayd/wiring.go
+++ b/pkg/gatewayd/wiring.go
@@ -230,6 +230,7 @@
 		Duration:    s.Bounds.MinOrderGap,
 		OnListed:    stewards.publishDirectory,
 		Note:        func(name string) []byte { return subscribers.note(name) },
+		Settled:     func(name string) <-chan struct{} { return subscribers.settled(name) },
 		Names:       func() []string { return leaseNames(view) },
 	}, table, members, pp.pool, subscribers, log)
 	stewards.leases = leases
@@ -260,6 +261,8 @@
 	listeners []lease.Listener
 	// note returns the record to store in a lease with each renewal, for the lease's next holder.
 	note func(name string) []byte
+	// settled returns a channel that is closed once nothing done under a lease that was given up can take effect any more.
+	settled func(name string) <-chan struct{}
 }
 
 // LeaseGained implements lease.Listener.
@@ -521,7 +524,7 @@
 	view.onList, view.onListConfirmed = streams.List, streams.Confirm
 	view.onRestored = func(endpoints []roster.Endpoint) { treatAsCold(limits, view.coldLimits(), endpoints) }
 	coord.leaseListeners.listeners = []lease.Listener{o, a.home}
-	coord.leaseListeners.note = a.home.Note
+	coord.leaseListeners.note, coord.leaseListeners.settled = a.home.Note, o.Settled
 	coord.members.SetStatus(func() membership.Status {
 		s := membership.Status{Draining: p.draining.Load(), BundleVersion: view.configVersion()}
 		coord.leases.AddStatus(&s)
--- a/pkg/lease/chart.go
+++ b/pkg/lease/chart.go
@@ -14,6 +14,7 @@
 	stateClaiming    chart.State = "claiming"
 	stateHeld        chart.State = "held"
 	stateProvisional chart.State = "provisional"
+	stateSettling    chart.State = "settling"
 
 	eventClaim      chart.Event = "claim"
 	eventGranted    chart.Event = "granted"
@@ -22,11 +23,12 @@
 	eventLapsed     chart.Event = "lapsed"
 	eventSuperseded chart.Event = "superseded"
 	eventRelease    chart.Event = "release"
+	eventSettled    chart.Event = "settled"
 )
 
 var leaseChart = chart.MustParse(leaseChartFile,
-	[]chart.State{stateIdle, stateClaiming, stateHeld, stateProvisional},
-	[]chart.Event{eventClaim, eventGranted, eventRefused, eventTake, eventLapsed, eventSuperseded, eventRelease})
+	[]chart.State{stateIdle, stateClaiming, stateHeld, stateProvisional, stateSettling},
+	[]chart.Event{eventClaim, eventGranted, eventRefused, eventTake, eventLapsed, eventSuperseded, eventRelease, eventSettled})
 
 // Chart returns the state chart of a VM's right to one lease.
 func Chart() *chart.Chart { return leaseChart }
--- a/pkg/lease/handover.go
+++ b/pkg/lease/handover.go
@@ -56,18 +56,72 @@
 	}
 }
 
-// release gives up a lease: it notifies the listener, and once the listener has returned, the next write to
+// release gives up a lease: it notifies the listener, and once the calls made under the lease are settled, the next write to
 // the table removes the holder from the row. m.mu is held.
 func (m *Manager) release(name string, now time.Time) {
 	m.noClaimBefore[name] = now.Add(reclaimDelay)
 	m.releasing[name] = true
-	m.lose(name, eventRelease, func() {
-		state := m.cfg.State(name)
-		m.mu.Lock()
-		m.released[name] = state
-		m.mu.Unlock()
+	m.settlingSince[name] = now
+	m.lose(name, eventRelease, func() { m.awaitSettled(name) })
+}
+
+// releaseGatherTime is how long leases that are settled wait for others that were given up at the same time, so that one write
+// frees all of them.
+const releaseGatherTime = 50 * time.Millisecond
+
+// gathering reports whether a lease that was given up less than releaseGatherTime ago has not settled. m.mu is held.
+func (m *Manager) gathering(now time.Time) bool {
+	for _, since := range m.settlingSince {
+		if now.Sub(since) < releaseGatherTime {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitSettled frees a lease that this VM has given up once the calls made under it are settled. It does not block, so that other
+// leases need not wait.
+func (m *Manager) awaitSettled(name string) {
+	settled := m.cfg.Settled(name)
+	if settled == nil {
+		m.free(name)
+		return
+	}
+	select {
+	case <-settled:
+		m.free(name)
+	default:
+		m.log.WithFields(logrus.Fields{"event": "lease_settling", "lease": name}).
+			Info("the lease stays taken until the calls made under it have ended")
+		// The leases that have settled by then are freed, whether or not this one has.
+		time.AfterFunc(releaseGatherTime, m.wakeToFree)
+		go func() {
+			<-settled
+			m.free(name)
+		}()
+	}
+}
+
+// free lets the next write to the table remove this VM from the row of a lease that it has given up.
+func (m *Manager) free(name string) {
+	state := m.cfg.State(name)
+	m.mu.Lock()
+	m.noClaimBefore[name] = time.Now().Add(reclaimDelay)
+	m.fire(name, m.right(name), eventSettled)
+	m.released[name] = state
+	delete(m.settlingSince, name)
+	m.mu.Unlock()
+	m.wakeToFree()
+}
+
+// wakeToFree makes the manager free the leases that are settled, unless they wait for others.
+func (m *Manager) wakeToFree() {
+	m.mu.RLock()
+	due := len(m.released) > 0 && !m.gathering(time.Now())
+	m.mu.RUnlock()
+	if due {
 		m.Wake()
-	})
+	}
 }
 
 // clearRelease removes the records of a handover, whether it has taken place or not. m.mu is held.
@@ -107,8 +161,8 @@
 	}
 }
 
-// Release stops the use of every lease after a Drain that did not complete. Once the process has exited, the
-// successors named in the rows take the leases over without the table.
+// Release stops the use of every lease after a Drain that did not complete. Once the process has exited and its calls are
+// settled, the successors named in the rows take the leases over without the table.
 func (m *Manager) Release() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -25,6 +25,9 @@
 	DefaultGuardInterval     = 200 * time.Millisecond
 	DefaultRebalanceInterval = 10 * time.Second
 	DefaultSessionRetention  = time.Minute
+
+	// callLimitShare is the part of Duration that CallLimit is by default.
+	callLimitShare = 3
 )
 
 // Config describes this VM and sets the manager's timing and callbacks.
@@ -41,6 +44,10 @@
 	// State returns the data to pass on to the next holder of a lease that is handed over. It is called
 	// after LeaseLost for that lease. It may be nil.
 	State func(name string) []byte
+	// Settled returns a channel that is closed once no call that this VM has made under the lease can still arrive anywhere. It is
+	// called after LeaseLost for a lease that this VM gives up, which is free for other VMs only then. Nil stands for a closed channel.
+	// It may be nil.
+	Settled func(name string) <-chan struct{}
 	// Note returns data on a lease that this VM holds, for the next holder. The data is written with each renewal,
 	// so that it survives a failure of this VM. Note may be nil, and may return nil if there is nothing to write.
 	Note func(name string) []byte
@@ -51,6 +58,8 @@
 	Duration time.Duration
 	// Margin is the time that a claimant waits on top of Duration, because the clocks of VMs drift apart.
 	Margin time.Duration
+	// CallLimit bounds the time for which a call that was made under a lease may be under way.
+	CallLimit time.Duration
 	// StoreTimeout bounds each call of the table service.
 	StoreTimeout time.Duration
 	// RankStep is the additional wait of each VM after the first in rendezvous order before it claims a free lease.
@@ -68,6 +77,7 @@
 	setDefault(&c.Duration, DefaultDuration)
 	setDefault(&c.ListPeriod, c.Period)
 	setDefault(&c.Margin, DefaultMargin)
+	setDefault(&c.CallLimit, c.Duration/callLimitShare)
 	setDefault(&c.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&c.RankStep, DefaultRankStep)
 	setDefault(&c.GuardInterval, DefaultGuardInterval)
@@ -79,6 +89,9 @@
 	if c.State == nil {
 		c.State = func(string) []byte { return nil }
 	}
+	if c.Settled == nil {
+		c.Settled = func(string) <-chan struct{} { return nil }
+	}
 	if c.Note == nil {
 		c.Note = func(string) []byte { return nil }
 	}
@@ -150,6 +163,8 @@
 	// of them whose loss the listener has handled, the state to pass on.
 	releasing map[string]bool
 	released  map[string][]byte
+	// settlingSince is when each lease was given up whose calls are not settled.
+	settlingSince map[string]time.Time
 	// noClaimBefore is, for each lease that this VM has handed over, the time until which it does not claim it again.
 	noClaimBefore map[string]time.Time
 	nextRebalance time.Time
@@ -206,6 +221,7 @@
 		holderGoneSince: map[string]time.Time{},
 		releasing:       map[string]bool{},
 		released:        map[string][]byte{},
+		settlingSince:   map[string]time.Time{},
 		noClaimBefore:   map[string]time.Time{},
 	}
 }
@@ -287,6 +303,32 @@
 	return r.grant, true
 }
 
+// Callable returns the grant and the time by which a call that is made now under the lease must have ended. It reports false
+// if this VM does not hold the lease.
+func (m *Manager) Callable(name string) (Grant, time.Time, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r, now := m.rights[name], time.Now()
+	if r == nil || !m.valid(r, now) {
+		return Grant{}, time.Time{}, false
+	}
+	return r.grant, now.Add(m.cfg.CallLimit), true
+}
+
+// Settling reports whether this VM has given the lease up and no other VM can hold it yet, because calls made under it may still
+// arrive.
+func (m *Manager) Settling(name string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.settling(name, time.Now())
+}
+
+// settling is Settling for callers that hold m.mu.
+func (m *Manager) settling(name string, now time.Time) bool {
+	r := m.rights[name]
+	return r != nil && r.lifecycle.State() == stateSettling && m.mine(m.leases[name]) && clock.Elapsed(m.own.validFrom, now) < m.cfg.Duration
+}
+
 // HolderOf returns the holder of the lease as far as this VM knows, which may be this VM.
 func (m *Manager) HolderOf(name string) (Holder, bool) {
 	if grant, ok := m.Held(name); ok {
@@ -294,6 +336,9 @@
 	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	if m.settling(name, time.Now()) {
+		return m.leases[name].toHolder(), true
+	}
 	l, known := m.leases[name]
 	if known && m.namesHolder(l, m.cfg.ID, m.cfg.Incarnation) {
 		known = false
@@ -350,7 +395,7 @@
 		}
 	}
 	for name, r := range m.rights {
-		if r.lifecycle.State() == stateProvisional {
+		if state := r.lifecycle.State(); state == stateProvisional || state == stateSettling && !m.mine(m.leases[name]) {
 			s.Claims = append(s.Claims, membership.Claim{Name: name, Fencing: r.grant.Fencing})
 		}
 	}
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -124,7 +124,7 @@
 		return p
 	}
 	m.planConfirms(p, live, now)
-	m.planReleases(p, live)
+	m.planReleases(p, live, now)
 	if m.draining {
 		p.session.Closed = m.drained(p)
 		return p
@@ -174,7 +174,10 @@
 }
 
 // planReleases adds the rows of leases that this VM has given up and that still name it. m.mu is held.
-func (m *Manager) planReleases(p *plan, live []membership.Member) {
+func (m *Manager) planReleases(p *plan, live []membership.Member, now time.Time) {
+	if m.gathering(now) {
+		return
+	}
 	for name, state := range m.released {
 		l := m.leases[name]
 		if !m.mine(l) {
@@ -196,7 +199,7 @@
 	return s.VM == m.cfg.ID && s.Incarnation == m.cfg.Incarnation
 }
 
-// drained reports whether no lease row will name this VM once p is written. m.mu is held.
+// drained reports whether no lease row will name this VM once p is written, and no call under a lease is under way. m.mu is held.
 func (m *Manager) drained(p *plan) bool {
 	mine := 0
 	for _, l := range m.leases {
@@ -204,6 +207,11 @@
 			mine++
 		}
 	}
+	for _, r := range m.rights {
+		if r.lifecycle.State() == stateSettling {
+			return false
+		}
+	}
 	return mine == len(p.releases) && len(p.confirms) == 0
 }
 
--- /dev/null
+++ b/pkg/lease/settling_test.go
@@ -0,0 +1,80 @@
+package lease_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mallowlink/mallowlink/pkg/fleettest"
+	"github.com/mallowlink/mallowlink/pkg/lease"
+)
+
+// callsUnderWay are the calls that VMs have made under leases, by lease.
+type callsUnderWay struct {
+	mu    sync.Mutex
+	ended map[string]chan struct{} // guarded by mu
+}
+
+// begin begins a call under a lease. It ends when the returned channel is closed.
+func (c *callsUnderWay) begin(name string) chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ended := make(chan struct{})
+	c.ended[name] = ended
+	return ended
+}
+
+func (c *callsUnderWay) settled(name string) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ended, ok := c.ended[name]; ok {
+		return ended
+	}
+	return nil
+}
+
+func runFleetWithCalls(t *testing.T, seed int64, n int, names []string, body func(f *fleet, calls *callsUnderWay)) {
+	runFleetWith(t, seed, func(f *fleet) {
+		calls := &callsUnderWay{ended: map[string]chan struct{}{}}
+		f.Names = names
+		f.Attach = func(*fleettest.VM) fleettest.Attachment { return fleettest.Attachment{Settled: calls.settled} }
+		f.StartAll(n)
+		body(f, calls)
+	})
+}
+
+// Guards against a lease that is free while a call under it may still arrive, and against other leases that wait for that call.
+func TestLeaseIsFreeOnceItsCallsAreSettled(t *testing.T) {
+	names := []string{"engines/a", "account/x", lease.Budget}
+	runFleetWithCalls(t, 6, 1, names, func(f *fleet, calls *callsUnderWay) {
+		first := f.holder("engines/a", 2*takeoverLimit)
+		f.Start("other")
+		time.Sleep(5 * time.Second)
+		ended := calls.begin("engines/a")
+		before, _ := first.Manager.Held("engines/a")
+		drained := make(chan error, 1)
+		go func() { drained <- first.Manager.Drain(f.Ctx) }()
+		for _, name := range names[1:] {
+			require.Eventually(t, func() bool { return len(f.Holders(name)) == 1 && f.Holders(name)[0] != first }, 2*time.Second, 10*time.Millisecond, name)
+		}
+		time.Sleep(2 * time.Second)
+		require.Empty(t, f.Holders("engines/a"))
+		_, held := first.Manager.Held("engines/a")
+		require.False(t, held)
+		_, _, callable := first.Manager.Callable("engines/a")
+		require.False(t, callable)
+		require.True(t, first.Manager.Settling("engines/a"))
+		for _, v := range f.VMs() {
+			holder, ok := v.Manager.HolderOf("engines/a")
+			require.True(t, ok)
+			require.Equal(t, lease.Holder{VM: first.ID, Incarnation: first.Incarnation, Address: first.Address, Fencing: before.Fencing}, holder)
+		}
+		require.Empty(t, drained, "the drain waits for the call")
+		close(ended)
+		require.NotEqual(t, first, f.holder("engines/a", time.Second))
+		require.NoError(t, <-drained)
+		require.False(t, first.Manager.Settling("engines/a"))
+	})
+}
--- a/pkg/orders/orders_test.go
+++ b/pkg/orders/orders_test.go
@@ -85,22 +85,43 @@
 
 // fakeLeaseView is a lease.View with one lease, which the test grants and withdraws.
 type fakeLeaseView struct {
-	mu   sync.Mutex
-	held bool
+	mu             sync.Mutex
+	held, settling bool
 }
 
+// callLimit is the longest time for which calls of fakeLeaseView may be under way.
+const callLimit = time.Second
+
 func (r *fakeLeaseView) set(held bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held = held
 }
 
+// settle makes the lease one that this VM has given up and whose orders are not settled.
+func (r *fakeLeaseView) settle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held, r.settling = false, true
+}
+
 func (r *fakeLeaseView) Held(name string) (lease.Grant, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return lease.Grant{Name: name, Fencing: 7}, r.held
 }
 
+func (r *fakeLeaseView) Callable(name string) (lease.Grant, time.Time, bool) {
+	grant, held := r.Held(name)
+	return grant, time.Now().Add(callLimit), held
+}
+
+func (r *fakeLeaseView) Settling(string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.settling
+}
+
 func (r *fakeLeaseView) HolderOf(string) (lease.Holder, bool) { return lease.Holder{}, false }
 
 // unreachablePeers is a peer.Client whose calls all fail because no VM can be reached.
--- a/pkg/orders/returns_test.go
+++ b/pkg/orders/returns_test.go
@@ -27,16 +27,26 @@
 
 // recordingEngines is a set of engines that accept all orders and record who sent them, when.
 type recordingEngines struct {
+	// network draws what happens to an order on its way; nil for one that delivers all orders within a millisecond.
+	network *orderNetwork
+
 	mu     sync.Mutex
 	orders map[string][]receivedOrder
 }
 
-func (r *recordingEngines) Order(_ context.Context, target upstream.Target, o engine.Order) (engine.Reply, error) {
+func (r *recordingEngines) Order(ctx context.Context, target upstream.Target, o engine.Order) (engine.Reply, error) {
+	if r.network != nil {
+		return r.network.send(ctx, o, func() { r.record(target.ID, o) })
+	}
 	time.Sleep(time.Millisecond)
+	r.record(target.ID, o)
+	return engine.Conflict, nil
+}
+
+func (r *recordingEngines) record(id string, o engine.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.orders[target.ID] = append(r.orders[target.ID], receivedOrder{time.Now(), o})
-	return engine.Conflict, nil
+	r.orders[id] = append(r.orders[id], receivedOrder{time.Now(), o})
 }
 
 func (r *recordingEngines) Report(context.Context, upstream.Target) (engine.Report, error) {
@@ -107,7 +117,7 @@
 		f.mu.Lock()
 		f.services[v] = s
 		f.mu.Unlock()
-		return fleettest.Attachment{Listener: orderListener{s, f}}
+		return fleettest.Attachment{Listener: orderListener{s, f}, Settled: s.Settled}
 	}
 	return f
 }
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -61,7 +61,7 @@
 type Config struct {
 	// Self is the identifier of this VM.
 	Self    string
-	Leases  lease.View
+	Leases  Leases
 	Engines engine.Engines
 	Roster  *roster.Roster
 	// EngineSpec describes the engines of a group. It returns false for groups that have no engines.
@@ -72,7 +72,7 @@
 	Address    func(vm string) (string, bool)
 	PeerClient peer.Client
 	// MinOrderGap is the minimum time between two orders of this VM to an engine if another VM owned the engine in
-	// between. Started is when this process started; it does not know of orders sent before that.
+	// between. Started is when this process started; an earlier process of this VM may have sent orders until then.
 	MinOrderGap time.Duration
 	Started     time.Time
 	// Placement selects how the time to the first token is estimated.
@@ -81,6 +81,15 @@
 	Log       logrus.FieldLogger
 }
 
+// Leases looks up the leases under which orders are sent. *lease.Manager implements it.
+type Leases interface {
+	lease.View
+	// Callable returns the grant if this VM holds the lease, and the time by which an order that is sent now must have ended.
+	Callable(name string) (lease.Grant, time.Time, bool)
+	// Settling reports whether this VM has given the lease up and no other VM can hold it before its orders are settled.
+	Settling(name string) bool
+}
+
 type meters struct {
 	orders metrics.Counter
 }
@@ -91,6 +100,8 @@
 	cfg    Config
 	meters meters
 	ctx    context.Context
+	// unsettled are the orders that may still arrive at engines.
+	unsettled *unsettledOrders
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -102,6 +113,9 @@
 	lostAt map[string]time.Time
 	// previousOwners maps each engine lease held by this VM to the VM that held it before.
 	previousOwners map[string]string
+	// settling contains the engine leases that this VM has given up while orders under them may still arrive. Their workers
+	// send no orders, but grant permits for adapters that the engines hold.
+	settling map[string]bool
 	// retired contains the workers of engines that this VM owned until recently.
 	retired map[roster.Incarnation]*worker
 	// speeds are the mean speeds of the engines of each group, as far as this VM owns them.
@@ -113,7 +127,7 @@
 // NewService returns a service that holds no leases. Its workers run until ctx is cancelled.
 func NewService(ctx context.Context, cfg Config) *Service {
 	return &Service{
-		cfg: cfg, ctx: ctx,
+		cfg: cfg, ctx: ctx, unsettled: newUnsettledOrders(cfg.MinOrderGap + orderGapMargin), settling: map[string]bool{},
 		meters:  meters{orders: metrics.GetOrRegisterCounter("orders.given", cfg.Metrics)},
 		workers: map[roster.Incarnation]*worker{}, leases: map[string]time.Time{}, lostAt: map[string]time.Time{},
 		previousOwners: map[string]string{}, retired: map[roster.Incarnation]*worker{},
@@ -124,6 +138,7 @@
 // LeaseGained implements lease.Listener.
 func (s *Service) LeaseGained(grant lease.Grant) {
 	s.mu.Lock()
+	s.stopSettling(grant.Name)
 	s.leases[grant.Name] = s.earliestOrder(grant)
 	delete(s.previousOwners, grant.Name)
 	if len(grant.Recent) > 0 && grant.Recent[0] != s.cfg.Self {
@@ -137,9 +152,9 @@
 // their way to the engine.
 const orderGapMargin = 100 * time.Millisecond
 
-// earliestOrder returns the time from which this VM may send orders under a lease that it has gained. If it
-// may have held the lease earlier and another VM in between, there must be a minimum gap between
-// its old orders and its new ones. s.mu must be held.
+// earliestOrder returns the time from which this VM may send orders under a lease that it has gained: when orders of earlier
+// holders, this VM among them, cannot arrive any more. If this VM may have held the lease earlier and another VM in between,
+// there must be a minimum gap between its old orders and its new ones. s.mu must be held.
 func (s *Service) earliestOrder(grant lease.Grant) time.Time {
 	last, held := s.lostAt[grant.Name]
 	if !held {
@@ -154,15 +169,51 @@
 
 // LeaseLost implements lease.Listener.
 func (s *Service) LeaseLost(name string) {
+	settled := s.unsettled.settled(name)
+	settling := settled != nil && s.cfg.Leases.Settling(name)
 	s.mu.Lock()
 	if _, held := s.leases[name]; held {
 		s.lostAt[name] = time.Now()
 	}
 	delete(s.leases, name)
+	if settling {
+		s.settling[name] = true
+		go func() {
+			<-settled
+			s.mu.Lock()
+			s.stopSettling(name)
+			s.mu.Unlock()
+			s.Refresh()
+		}()
+	}
 	s.mu.Unlock()
 	s.Refresh()
 }
 
+// stopSettling stops the workers of a lease that this VM has given up. s.mu must be held.
+func (s *Service) stopSettling(name string) {
+	if !s.settling[name] {
+		return
+	}
+	delete(s.settling, name)
+	for id, w := range s.workers {
+		if w.lease == name {
+			s.stopWorker(id, w)
+		}
+	}
+}
+
+// stopWorker stops the worker of an engine and keeps its state for the engine's next owner. s.mu must be held.
+func (s *Service) stopWorker(id roster.Incarnation, w *worker) {
+	w.cancel()
+	delete(s.workers, id)
+	s.retire(id, w)
+}
+
+// Settled returns a channel that is closed once the orders given so far under the lease cannot arrive any more; nil if they
+// cannot now.
+func (s *Service) Settled(name string) <-chan struct{} { return s.unsettled.settled(name) }
+
 // Refresh starts workers for the engines that this VM now owns according to its leases and the roster, and
 // stops the workers of all others.
 func (s *Service) Refresh() {
@@ -172,12 +223,11 @@
 	s.sweepSpares()
 	for id, w := range s.workers {
 		e, ok := view.Endpoint(id.ID)
-		if !ok || e.Incarnation != id || !s.holdsLease(w.lease) {
-			w.cancel()
-			delete(s.workers, id)
-			s.retire(id, w)
+		if !ok || e.Incarnation != id || !s.holdsLease(w.lease) && !s.settling[w.lease] {
+			s.stopWorker(id, w)
 			continue
 		}
+		w.settling.Store(s.settling[w.lease])
 		// The failure domain of the engine may be evacuated or restored.
 		w.signal()
 	}
@@ -237,7 +287,7 @@
 		*reply = AcquireReply{Status: NotOwner}
 		return nil
 	}
-	if _, held := s.cfg.Leases.Held(w.lease); !held {
+	if _, held := s.cfg.Leases.Held(w.lease); !held && !(w.settling.Load() && s.cfg.Leases.Settling(w.lease)) {
 		*reply = AcquireReply{Status: NotOwner}
 		return nil
 	}
@@ -321,6 +371,9 @@
 	Down     bool   `json:"down"`
 	// Evacuated says that the engine gets no orders because its failure domain is evacuated.
 	Evacuated bool `json:"evacuated"`
+	// Settling says that this VM has given the engine up and sends no orders, but orders may still arrive. Unsettled is their number.
+	Settling  bool `json:"settling"`
+	Unsettled int  `json:"unsettled"`
 	// Held, InUse, Loading and Wanted count adapters: those held by the engine, those in use by requests,
 	// those being loaded, and those that requests are waiting for.
 	Held    int `json:"held"`
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -4,11 +4,13 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/mallowlink/mallowlink/pkg/clock"
 	"github.com/mallowlink/mallowlink/pkg/engine"
 	"github.com/mallowlink/mallowlink/pkg/placement"
 	"github.com/mallowlink/mallowlink/pkg/residency"
@@ -51,6 +53,10 @@
 	ordersFrom time.Time
 	wake       chan struct{}
 	cancel     context.CancelFunc
+	// settling says that this VM has given the lease up and sends no orders, while orders may still arrive.
+	settling atomic.Bool
+	// openCalls is the number of orders whose calls have not ended.
+	openCalls atomic.Int32
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -160,7 +166,7 @@
 // nextAction returns the call to make now, or the time at which to check again. While the engine cannot be
 // reached, no request waits for it, so reading its report is used as the probe. w.mu must be held.
 func (w *worker) nextAction(now time.Time) (residency.Action, bool, time.Time) {
-	if w.evacuating {
+	if w.evacuating || w.settling.Load() {
 		return residency.Action{}, false, time.Time{}
 	}
 	if !w.downUntil.IsZero() {
@@ -170,6 +176,9 @@
 	if ok && action.Kind != residency.Report && now.Before(w.ordersFrom) {
 		return action, false, w.ordersFrom
 	}
+	if ok && action.Kind != residency.Report && w.openCalls.Load() >= maxOpenCalls {
+		return action, false, now.Add(leaseCheckInterval)
+	}
 	return action, ok, due
 }
 
@@ -199,6 +208,7 @@
 	running, unread := w.load.Running()
 	return EngineState{
 		Endpoint: w.endpoint.ID, Started: w.endpoint.Started, Lease: w.lease,
+		Settling: w.settling.Load(), Unsettled: w.service.unsettled.count(w.lease, w.endpoint.ID),
 		Ready: w.planner.Ready(), Down: !w.downUntil.IsZero(), Evacuated: w.evacuating,
 		Held: sum.Held, InUse: sum.InUse, Loading: sum.Loading, Wanted: sum.Wanted,
 		LoadTime: sum.LoadTime.Round(time.Millisecond).String(), TokenTime: w.load.TokenTime().String(),
@@ -249,32 +259,30 @@
 	}
 }
 
-// execute makes one call to the engine. The lease is checked immediately before an order is sent.
+// execute makes one call to the engine, and waits for the response until the timeout.
 func (w *worker) execute(ctx context.Context, a residency.Action) {
-	target := upstream.Target{ID: w.endpoint.ID, Started: w.endpoint.Started, Address: w.endpoint.Address}
-	ctx, cancel := context.WithTimeout(ctx, w.timeout())
-	defer cancel()
 	start := time.Now()
 	if a.Kind == residency.Report {
+		ctx, cancel := context.WithTimeout(ctx, w.timeout())
+		defer cancel()
+		target := upstream.Target{ID: w.endpoint.ID, Started: w.endpoint.Started, Address: w.endpoint.Address}
 		report, err := w.service.cfg.Engines.Report(ctx, target)
 		w.recordCall(start, err)
 		w.handleReport(a, report, err)
 		return
 	}
-	grant, held := w.service.cfg.Leases.Held(w.lease)
-	if !held {
-		time.Sleep(leaseCheckInterval)
+	call, ok := w.startOrder(a)
+	if !ok {
+		clock.Sleep(ctx, leaseCheckInterval)
 		return
 	}
-	reply, err := w.service.cfg.Engines.Order(ctx, target, engine.Order{
-		Holder:   w.service.cfg.Self,
-		Fencing:  grant.Fencing,
-		Expected: a.Expected,
-		Adapter:  a.Adapter,
-		Evict:    a.Kind == residency.Evict || a.Kind == residency.ConfirmEvict,
-	})
-	w.recordCall(start, err)
-	w.handleReply(a, reply, err)
+	outcome := call.await(ctx, w.timeout())
+	if call.leaseEnded.Load() {
+		clock.Sleep(ctx, leaseCheckInterval)
+		return
+	}
+	w.recordCall(start, outcome.err)
+	w.handleReply(a, call.order.fencing, outcome.reply, outcome.err)
 }
 
 // timeout returns the time after which a call is given up.
@@ -335,13 +343,13 @@
 	w.serveWaiters(now)
 }
 
-func (w *worker) handleReply(a residency.Action, reply engine.Reply, err error) {
+func (w *worker) handleReply(a residency.Action, fencing uint64, reply engine.Reply, err error) {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	entry := w.service.cfg.Log.WithFields(logrus.Fields{
 		"event": "order", "endpoint": w.endpoint.ID, "kind": a.Kind.String(),
-		"adapter": a.Adapter.Name, "expected": a.Expected,
+		"adapter": a.Adapter.Name, "expected": a.Expected, "fencing": fencing,
 	})
 	w.service.meters.orders.Inc(1)
 	switch {
@@ -422,6 +430,10 @@
 		defer w.mu.Unlock()
 		return w.acquireEvacuating(args, key, from, start)
 	}
+	if w.settling.Load() {
+		defer w.mu.Unlock()
+		return w.acquireHeld(args, key, start)
+	}
 	if args.Prefetch {
 		w.prefetch(key, args.Moving, start)
 		w.mu.Unlock()
@@ -453,6 +465,11 @@
 	if !now.Before(from) {
 		return AcquireReply{Status: Down}
 	}
+	return w.acquireHeld(args, key, now)
+}
+
+// acquireHeld grants a permit only if the adapter is held: nothing is loaded now. w.mu must be held.
+func (w *worker) acquireHeld(args *AcquireArgs, key residency.Key, now time.Time) AcquireReply {
 	f := w.load.Forecast(w.work(args), now)
 	reply := AcquireReply{Status: Offered, Estimate: f.First, Own: f.Own, Run: f.Run, Displaced: f.Displaced, Delay: noLoad}
 	if args.Prefetch || reply.Estimate > args.Bound {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 	idleSince time.Time
 	// used says that the connection has carried a response before.
 	used bool
+	// resetOnClose says that Close is to drop what the endpoint has not acknowledged.
+	resetOnClose atomic.Bool
 	// closeErr is the read error by which the endpoint's side of the connection was closed or reset; nil while
 	// it is open.
 	closeErr error
@@ -80,6 +83,15 @@
 	return cn
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok && c.resetOnClose.Load() {
+		// Fails only if the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn. It bounds the head of a response and records the end of the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBytesLeft == 0 {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -34,6 +34,11 @@
 	// Echoed says that the endpoint echoes the identifier in each response. A response without one on a connection that has been
 	// used before may then be an earlier one, sent again.
 	Echoed bool
+	// BeforeSend, if set, is called immediately before the request is written. An error keeps it from being sent.
+	BeforeSend func() error
+	// ResetOnFailure makes the connection be reset, not only closed, if no response arrives or ctx ends before, so that the
+	// system repeats nothing of the request that the endpoint has not acknowledged.
+	ResetOnFailure bool
 }
 
 // Error says that no response to the request has arrived.
@@ -128,6 +133,12 @@
 			return nil, err
 		}
 	}
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
+			_ = cn.Close()
+			return nil, &Error{Err: err}
+		}
+	}
 	return c.exchange(ctx, target, cn, req)
 }
 
@@ -145,6 +156,7 @@
 // exchange sends the request over the connection and reads the head of its response.
 func (c *Client) exchange(ctx context.Context, target Target, cn *conn, req Request) (*Response, error) {
 	a := &Response{client: c, target: target, conn: cn, sent: time.Now()}
+	cn.resetOnClose.Store(req.ResetOnFailure)
 	a.stopWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := a.writeRequest(req); err != nil {
 		c.reportClosed(ctx, a, err)
@@ -156,6 +168,7 @@
 		a.abandon()
 		return nil, &Error{Sent: true, Err: cause(ctx, err)}
 	}
+	cn.resetOnClose.Store(false)
 	return a, nil
 }
 
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -535,3 +536,44 @@
 	require.Len(t, opened, 1)
 	require.WithinRange(t, opened[0], begun, answered)
 }
+
+// Guards against a request that the system goes on to send after it was given up: the endpoint sees a reset.
+func TestConnectionIsResetOnFailure(t *testing.T) {
+	ended := make(chan error, 1)
+	e := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+		_, _, _ = e.read(r)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	req := request("1")
+	req.ResetOnFailure = true
+	_, err := newClient(t).Send(ctx, e.target(), req)
+	require.Error(t, err)
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
+
+// A request that BeforeSend holds back is not sent, and a connection that has carried such requests is closed in order.
+func TestRequestIsHeldBackBeforeItIsSent(t *testing.T) {
+	ended := make(chan error, 1)
+	e := listen(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+		id, body, _ := e.read(r)
+		_, _ = io.WriteString(c, response(id, body))
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	client := newClient(t)
+	req := request("1")
+	req.ResetOnFailure = true
+	a, err := client.Send(t.Context(), e.target(), req)
+	require.NoError(t, err)
+	readAll(t, a)
+	req.BeforeSend = func() error { return ErrWithheld }
+	_, err = client.Send(t.Context(), e.target(), req)
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+	require.ErrorIs(t, err, ErrWithheld)
+	require.Equal(t, io.EOF, <-ended)
+}
