An order is sent only if its lease lasts for the longest time of a call

Cause: the lease was checked just before an order was sent, with whatever was left of it. The next owner may claim 0.3 s after the lapse, but an order that was sent in the last moment and lost arrives with a retransmission, 0.2, 0.6 or 1.4 s later.

Change: an order is sent only if the lease lasts for the call limit (a third of its duration), after which the call is reset. Leases are renewed every 1.2 s of 3 s, so nothing changes while renewals succeed.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -58,7 +58,8 @@
 	Duration time.Duration
 	// Margin is the time that a claimant waits on top of Duration, because the clocks of VMs drift apart.
 	Margin time.Duration
-	// CallLimit bounds the time for which a call that was made under a lease may be under way.
+	// CallLimit bounds the time for which a call that was made under a lease may be under way. It is less than Duration minus Period,
+	// so that calls are possible at all times while the table responds.
 	CallLimit time.Duration
 	// StoreTimeout bounds each call of the table service.
 	StoreTimeout time.Duration
@@ -304,12 +305,12 @@
 }
 
 // Callable returns the grant and the time by which a call that is made now under the lease must have ended. It reports false
-// if this VM does not hold the lease.
+// if this VM does not hold the lease, or not until then.
 func (m *Manager) Callable(name string) (Grant, time.Time, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	r, now := m.rights[name], time.Now()
-	if r == nil || !m.valid(r, now) {
+	if r == nil || !m.valid(r, now.Add(m.cfg.CallLimit)) {
 		return Grant{}, time.Time{}, false
 	}
 	return r.grant, now.Add(m.cfg.CallLimit), true
--- a/pkg/lease/settling_test.go
+++ b/pkg/lease/settling_test.go
@@ -78,3 +78,24 @@
 		require.False(t, first.Manager.Settling("engines/a"))
 	})
 }
+
+// Guards against calls that outlive the lease: none may begin unless the lease lasts for the longest time that it can take.
+func TestCallsEndBeforeTheLeaseLapses(t *testing.T) {
+	runFleet(t, 9, 3, []string{lease.Budget}, func(f *fleet) {
+		v := f.holder(lease.Budget, 2*takeoverLimit)
+		time.Sleep(20 * time.Second)
+		f.Table.SetFaults(v.ID, fleettest.TableFaults{Down: true})
+		var lastCall, lapsed time.Time
+		for lapsed.IsZero() {
+			if _, deadline, ok := v.Manager.Callable(lease.Budget); ok {
+				lastCall = deadline
+			}
+			if _, held := v.Manager.Held(lease.Budget); !held {
+				lapsed = time.Now()
+			}
+			time.Sleep(time.Millisecond)
+		}
+		require.False(t, lastCall.After(lapsed), "a call could take until %s after the lease", lastCall.Sub(lapsed))
+		require.Less(t, lapsed.Sub(lastCall), 100*time.Millisecond)
+	})
+}
--- a/pkg/orders/settlement_model_test.go
+++ b/pkg/orders/settlement_model_test.go
@@ -158,6 +158,20 @@
 	})
 }
 
+// Guards against the same amid all faults of VMs, the table and the network between VMs. The delay of orders stays below the least time
+// between the last order of a holder that ends or is cut off and the first one of the next holder.
+func TestLateOrdersAmidFaults(t *testing.T) {
+	network := func() *orderNetwork {
+		return &orderNetwork{maxDelay: 1200 * time.Millisecond, late: 0.2, lost: 0.1, slow: 0.2}
+	}
+	runOrderModel(t, network, func(f *orderFleet, rnd *rand.Rand) []string {
+		chaos := fleettest.NewChaos(f.Fleet, rnd.Int63())
+		chaos.Returns = rnd.Intn(2) == 0
+		chaos.Run(16)
+		return chaos.Trace
+	})
+}
+
 // pickRunning returns a random VM whose process is running.
 func (f *orderFleet) pickRunning(rnd *rand.Rand) *fleettest.VM {
 	var running []*fleettest.VM
