A process announces for how long its orders may still arrive after its end

Cause: other VMs took the announced end of a process for the end of its orders. Without the store a successor takes its leases over at once, while an order that got no response may be under way.

Change: the announcement says for how long orders may arrive, 0 if all are settled. Other VMs consider the process gone after that. VMs of earlier builds ignore the field.

--- a/pkg/daemon/process.go
+++ b/pkg/daemon/process.go
@@ -243,7 +243,7 @@
 func (p *process) announceEnd() {
 	ctx, cancel := context.WithTimeout(context.Background(), endAnnouncementTimeout)
 	defer cancel()
-	p.components.Members.AnnounceEnd(ctx)
+	p.components.Members.AnnounceEnd(ctx, 0)
 }
 
 // closeAll closes all listeners and connections, waits for the goroutines of the components, and flushes
--- a/pkg/fleettest/fleet.go
+++ b/pkg/fleettest/fleet.go
@@ -50,6 +50,8 @@
 	State   func(name string) []byte
 	Note    func(name string) []byte
 	Settled func(name string) <-chan struct{}
+	// CallsFor returns how long calls under the VM's leases may still arrive when it ends.
+	CallsFor func() time.Duration
 }
 
 // VM is one incarnation of a VM of a Fleet: a restart yields a new VM value with the same ID.
@@ -65,6 +67,7 @@
 	dead     bool
 	stop     context.CancelFunc
 	listener lease.Listener
+	callsFor func() time.Duration
 
 	mu     sync.Mutex
 	gains  []lease.Grant
@@ -222,7 +225,7 @@
 	if f.Attach != nil {
 		attached = f.Attach(v)
 	}
-	v.listener = attached.Listener
+	v.listener, v.callsFor = attached.Listener, attached.CallsFor
 	f.listen(v, attached.Services)
 	go v.Registry.Run(v.Ctx)
 	go v.Manager.Run(v.Ctx)
@@ -267,7 +270,11 @@
 	v.Manager.Release()
 	ctx, cancel := context.WithTimeout(v.Ctx, endAnnouncementTimeout)
 	defer cancel()
-	v.Registry.AnnounceEnd(ctx)
+	callsFor := time.Duration(0)
+	if v.callsFor != nil {
+		callsFor = v.callsFor()
+	}
+	v.Registry.AnnounceEnd(ctx, callsFor)
 	f.Kill(v)
 }
 
--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -237,12 +237,12 @@
 	}
 }
 
-// announceEnd tells the other VMs that this process sends nothing more. Without that they would have to treat it like
-// one that does not respond but may still run.
+// announceEnd tells the other VMs that this process sends nothing more, and for how long its orders may still arrive. Without that
+// they would have to treat it like one that does not respond but may still run.
 func (p *process) announceEnd() {
 	ctx, cancel := context.WithTimeout(context.Background(), endAnnouncementTimeout)
 	defer cancel()
-	p.components.Coordination.members.AnnounceEnd(ctx)
+	p.components.Coordination.members.AnnounceEnd(ctx, p.components.Orders.OrdersFor())
 }
 
 // close closes all components and waits for their goroutines.
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -12,7 +12,9 @@
 
 func (r *Registry) ownBeat() Beat {
 	status := r.status()
-	status.Ended = r.ended.Load()
+	if end := r.end.Load(); end != nil {
+		status.Ended, status.CallsFor = true, max(time.Until(end.callsUntil), 0)
+	}
 	return Beat{
 		ID:            r.cfg.ID,
 		Incarnation:   r.cfg.Incarnation,
@@ -22,11 +24,15 @@
 	}
 }
 
+// announcedEnd is the end of this process. callsUntil is the time until which its calls may still arrive.
+type announcedEnd struct{ callsUntil time.Time }
+
 // AnnounceEnd tells the other VMs that this process has ended all its work, which proves it gone to them. It returns when
 // all of them have responded or ctx has ended. Once AnnounceEnd has been called, the process must not use a lease, send a
-// request or spend tokens.
-func (r *Registry) AnnounceEnd(ctx context.Context) {
-	r.ended.Store(true)
+// request or spend tokens. callsFor is how long calls made under its leases may still arrive; the other VMs consider the process
+// gone after that time.
+func (r *Registry) AnnounceEnd(ctx context.Context, callsFor time.Duration) {
+	r.end.Store(&announcedEnd{callsUntil: time.Now().Add(callsFor)})
 	r.mu.Lock()
 	var targets []Member
 	for _, rec := range r.records {
@@ -128,6 +134,11 @@
 	switch {
 	case beat.Status.Ended:
 		rec.ended = beat.Incarnation
+		if beat.Status.CallsFor > 0 {
+			event, rec.member.Draining = eventDrains, true
+			time.AfterFunc(beat.Status.CallsFor, func() { r.recordEnd(beat.ID, beat.Incarnation) })
+			break
+		}
 		rec.goneIncarnations[beat.Incarnation] = true
 		event = eventEnded
 	case beat.Status.Draining:
@@ -135,3 +146,15 @@
 	}
 	return rec, r.fire(rec, event) || beat.Incarnation != known
 }
+
+// recordEnd records that the calls of an incarnation which has announced its end have ended too.
+func (r *Registry) recordEnd(id, incarnation string) {
+	r.mu.Lock()
+	rec := r.record(id)
+	rec.goneIncarnations[incarnation] = true
+	changed := rec.member.Incarnation == incarnation && r.fire(rec, eventEnded)
+	r.mu.Unlock()
+	if changed {
+		r.onChange()
+	}
+}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -25,7 +25,10 @@
 type Status struct {
 	Draining bool
 	// Ended says that the process has ended all its work and sends nothing more.
-	Ended         bool
+	Ended bool
+	// CallsFor is how long calls that the process has made may still arrive after its end; 0 if none can. VMs of earlier builds
+	// ignore the field.
+	CallsFor      time.Duration
 	BundleVersion uint64
 	// StoreDown says that the table service does not respond to the VM.
 	StoreDown bool
--- a/pkg/membership/registry.go
+++ b/pkg/membership/registry.go
@@ -72,8 +72,8 @@
 	beatNow chan struct{}
 	// nextToAll says that the next heartbeats go to every VM, not only to partners.
 	nextToAll atomic.Bool
-	// ended says that AnnounceEnd has been called.
-	ended atomic.Bool
+	// end is set once AnnounceEnd has been called.
+	end atomic.Pointer[announcedEnd]
 
 	mu      sync.Mutex
 	records map[string]*record // by VM ID, guarded by mu
--- a/pkg/membership/registry_test.go
+++ b/pkg/membership/registry_test.go
@@ -93,7 +93,7 @@
 func TestAnnouncedEndProvesGone(t *testing.T) {
 	runPair(t, func(t *testing.T, p *pair) {
 		late := membership.Beat{ID: "b", Incarnation: "1", PeerAddress: "b:1"}
-		p.b.AnnounceEnd(t.Context())
+		p.b.AnnounceEnd(t.Context(), 0)
 		require.True(t, p.a.Gone("b", "1"))
 		require.Len(t, p.a.Live(), 1)
 		var reply membership.Beat
@@ -108,6 +108,20 @@
 	})
 }
 
+// Guards against taking a process that has ended, but whose calls may still arrive, for gone at once.
+func TestAnnouncedEndProvesGoneOnceItsCallsHaveEnded(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		p.b.AnnounceEnd(t.Context(), 2*time.Second)
+		p.kill("b")
+		require.False(t, p.a.Gone("b", "1"))
+		require.Len(t, p.a.Live(), 1)
+		time.Sleep(1900 * time.Millisecond)
+		require.False(t, p.a.Gone("b", "1"))
+		time.Sleep(200 * time.Millisecond)
+		require.True(t, p.a.Gone("b", "1"))
+	})
+}
+
 // A process that starts after the clock was set back has a lower incarnation than the process before
 // it. It must be accepted all the same, and a late row of the earlier process must not replace it.
 func TestRestartAfterClockSetBack(t *testing.T) {
--- a/pkg/orders/returns_test.go
+++ b/pkg/orders/returns_test.go
@@ -117,7 +117,7 @@
 		f.mu.Lock()
 		f.services[v] = s
 		f.mu.Unlock()
-		return fleettest.Attachment{Listener: orderListener{s, f}, Settled: s.Settled}
+		return fleettest.Attachment{Listener: orderListener{s, f}, Settled: s.Settled, CallsFor: s.OrdersFor}
 	}
 	return f
 }
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -214,6 +214,9 @@
 // cannot now.
 func (s *Service) Settled(name string) <-chan struct{} { return s.unsettled.settled(name) }
 
+// OrdersFor returns how long orders of this VM may still arrive at engines, 0 if none can.
+func (s *Service) OrdersFor() time.Duration { return s.unsettled.left(time.Now()) }
+
 // Refresh starts workers for the engines that this VM now owns according to its leases and the roster, and
 // stops the workers of all others.
 func (s *Service) Refresh() {
--- a/pkg/orders/settlement_model_test.go
+++ b/pkg/orders/settlement_model_test.go
@@ -172,6 +172,30 @@
 	})
 }
 
+// Guards against announcing the end of a process whose orders may still arrive: while the table is down, a successor takes its leases
+// over as soon as it is proven gone.
+func TestOrdersOfVMsThatStopWithoutTheTable(t *testing.T) {
+	network := func() *orderNetwork {
+		return &orderNetwork{maxDelay: minOrderGap - 100*time.Millisecond, late: 0.2, lost: 0.2, slow: 0.1}
+	}
+	runOrderModel(t, network, func(f *orderFleet, rnd *rand.Rand) []string {
+		for range 8 {
+			f.Table.SetDown(true)
+			time.Sleep(time.Duration(rnd.Int63n(int64(3 * time.Second))))
+			v := f.pickRunning(rnd)
+			ctx, cancel := context.WithTimeout(v.Ctx, time.Second)
+			_ = v.Manager.Drain(ctx)
+			cancel()
+			f.End(v)
+			time.Sleep(6 * time.Second)
+			f.Table.SetDown(false)
+			f.Start(v.ID)
+			time.Sleep(10 * time.Second)
+		}
+		return nil
+	})
+}
+
 // pickRunning returns a random VM whose process is running.
 func (f *orderFleet) pickRunning(rnd *rand.Rand) *fleettest.VM {
 	var running []*fleettest.VM
--- a/pkg/orders/unsettled.go
+++ b/pkg/orders/unsettled.go
@@ -101,3 +101,16 @@
 	}
 	return n
 }
+
+// left returns how long unsettled orders may still arrive, 0 if there are none.
+func (u *unsettledOrders) left(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var left time.Duration
+	for _, l := range u.leases {
+		for o := range l.orders {
+			left = max(left, u.until(o).Sub(now))
+		}
+	}
+	return left
+}
--- a/pkg/orders/unsettled_test.go
+++ b/pkg/orders/unsettled_test.go
@@ -106,6 +106,7 @@
 				took := f.settledAfter()
 				require.GreaterOrEqual(t, took, c.after)
 				require.LessOrEqual(t, took, c.upTo)
+				require.Zero(t, f.s.OrdersFor())
 				require.Nil(t, f.s.Settled(LeaseOf(f.id.ID)))
 			})
 		})
