The end of a process that a newer one proves is not taken for the end of its orders

Cause: a newer process on the VM proves the earlier one gone, and another VM claimed its leases and gave orders at once. Orders of the earlier process may still be under way. The VM itself did the same with its own earlier process.

Change: the grant says until when calls of an earlier holder may arrive (call limit + margin), unless the row was freed, the session has lapsed or the end was announced. The new owner gives no orders until then; it owns the engine, grants permits for loaded adapters, and adds the wait to the delays that it offers, so that callers choose other engines. A VM that ends a session notes whether it had lapsed, for VMs that claim leases of it later.

--- a/pkg/lease/claim.go
+++ b/pkg/lease/claim.go
@@ -34,6 +34,23 @@
 	return !due.After(now), due
 }
 
+// lapsed reports whether the session has lapsed by now. m.mu is held.
+func (m *Manager) lapsed(s session, now time.Time) bool { return !m.lapseTime(s).After(now) }
+
+// earlierCallsUntil returns the time until which calls that the lease's holder has made may still arrive, zero if none can. The
+// end of a process, which another process of the VM proves, does not end calls that are under way; a session lasts longer than
+// all calls made in it, and a VM that frees a lease or announces its end says that they have ended. m.mu is held.
+func (m *Manager) earlierCallsUntil(l lease, now time.Time) time.Time {
+	if l.Holder == "" || m.mine(l) || m.fleet.EndAnnounced(l.Holder, l.Incarnation) {
+		return time.Time{}
+	}
+	s, ok := m.sessions[l.Holder]
+	if ok && s.Incarnation == l.Incarnation && (s.Closed || s.Lapsed || !s.Ended && m.lapsed(s, now)) {
+		return time.Time{}
+	}
+	return now.Add(m.cfg.CallLimit + m.cfg.Margin)
+}
+
 // lapseTime returns the time from which this VM considers the session lapsed if it is not renewed.
 func (m *Manager) lapseTime(s session) time.Time {
 	return s.firstSeen.Add(max(s.Duration, m.cfg.Duration) + m.cfg.Margin)
@@ -129,8 +146,8 @@
 			continue
 		}
 		switch {
-		case !s.over() && !m.lapseTime(s).After(now):
-			p.end(s)
+		case !s.over() && m.lapsed(s, now):
+			p.end(s, true)
 		case s.over():
 			m.planDelete(p, s, now)
 		}
--- a/pkg/lease/guard.go
+++ b/pkg/lease/guard.go
@@ -208,6 +208,6 @@
 	gone := rank > 0 && len(m.notGone(l.LingeringHolders)) == 0
 	m.gain(name, r, eventTake, Grant{
 		Name: name, Fencing: fencing, PreviousProvenGone: gone, Recent: l.recentHolders(),
-		Unrecorded: m.unrecorded(l), HistoryLost: m.generation > 0,
+		Unrecorded: m.unrecorded(l), HistoryLost: m.generation > 0, EarlierCallsUntil: m.earlierCallsUntil(l, time.Now()),
 	})
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -9,6 +9,8 @@
 // it can send nothing more.
 package lease
 
+import "time"
+
 // Names of leases.
 const (
 	// GroupPrefix precedes the name of an endpoint group in a lease name.
@@ -29,6 +31,8 @@
 	// PreviousProvenGone says that every earlier holder has handed over or is proven gone, so that none
 	// of their orders can still arrive.
 	PreviousProvenGone bool
+	// EarlierCallsUntil is the time until which calls that an earlier holder made under the lease may still arrive; zero if none can.
+	EarlierCallsUntil time.Time
 	// State is the data that the previous holder passed on when it handed the lease over; nil otherwise.
 	State []byte
 	// Note is the data on the lease that the previous holder last wrote with a renewal; nil if it wrote none.
--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -111,6 +111,8 @@
 	Gone(id, incarnation string) bool
 	// LastReply returns the last response of the given incarnation to a heartbeat of this VM.
 	LastReply(id, incarnation string) (membership.Reply, bool)
+	// EndAnnounced reports whether the given incarnation has announced its end, and its calls have ended by what it announced.
+	EndAnnounced(id, incarnation string) bool
 	// Claims returns the leases that the given incarnation last claimed.
 	Claims(id, incarnation string) []membership.Claim
 	// Announce notifies the other VMs at once of this VM's claims.
--- a/pkg/lease/plan.go
+++ b/pkg/lease/plan.go
@@ -37,8 +37,9 @@
 	target membership.Member
 	// generation is the generation of the table service, replacedFencing the fencing number that the row had.
 	generation, replacedFencing uint64
-	// unrecorded is the field of the same name in the grant.
-	unrecorded bool
+	// unrecorded and earlierCallsUntil are the fields of the same names in the grant.
+	unrecorded        bool
+	earlierCallsUntil time.Time
 }
 
 func (c rowChange) grant() Grant {
@@ -47,6 +48,7 @@
 		Fencing:            c.row.Fencing,
 		NeverHeldBefore:    c.version == 0 && c.generation == 0,
 		PreviousProvenGone: len(c.row.LingeringHolders) == 0 && claimedInGeneration(c.replacedFencing, c.generation),
+		EarlierCallsUntil:  c.earlierCallsUntil,
 		State:              c.state,
 		Note:               c.note,
 		Recent:             c.row.Recent,
@@ -237,7 +239,7 @@
 			p.noteDue(due)
 			continue
 		}
-		m.planClaim(p, name, l, live)
+		m.planClaim(p, name, l, live, now)
 	}
 }
 
@@ -275,10 +277,11 @@
 }
 
 // planClaim adds one claim. m.mu is held.
-func (m *Manager) planClaim(p *plan, name string, l lease, live []membership.Member) {
+func (m *Manager) planClaim(p *plan, name string, l lease, live []membership.Member, now time.Time) {
 	c := rowChange{
 		name: name, row: m.newRow(name, nextFencing(l.Fencing, m.generation), live), version: l.version,
 		generation: m.generation, replacedFencing: l.Fencing, unrecorded: m.unrecorded(l),
+		earlierCallsUntil: m.earlierCallsUntil(l, now),
 	}
 	c.row.LingeringHolders = m.lingeringHolders(l)
 	c.row.Recent = l.recentHolders()
@@ -291,7 +294,7 @@
 	// The claim ends the holder's session, or requires that it is over: the write must fail if the session has
 	// been renewed or revived since. The session of a later incarnation does not matter.
 	if s, ok := m.sessions[l.Holder]; ok && l.Holder != m.cfg.ID && s.Incarnation == l.Incarnation {
-		p.end(s)
+		p.end(s, m.lapsed(s, now))
 	}
 }
 
@@ -301,11 +304,12 @@
 	return handedOver || !claimedInGeneration(l.Fencing, m.generation)
 }
 
-// end adds a session to those that the plan ends.
-func (p *plan) end(s session) {
+// end adds a session to those that the plan ends. lapsed says that it has lapsed.
+func (p *plan) end(s session, lapsed bool) {
 	if p.ends == nil {
 		p.ends = map[string]session{}
 	}
+	s.Lapsed = s.Lapsed || lapsed
 	p.ends[s.VM] = s
 }
 
--- a/pkg/lease/rows.go
+++ b/pkg/lease/rows.go
@@ -54,6 +54,8 @@
 	// set by the VM itself at the end of a drain.
 	Ended  bool `json:"ended,omitempty"`
 	Closed bool `json:"closed,omitempty"`
+	// Lapsed says that the session had not been renewed for its duration when another VM ended it.
+	Lapsed bool `json:"lapsed,omitempty"`
 	// malformed says that the row could not be decoded; no conclusion about the VM may be drawn from it.
 	malformed bool
 }
--- a/pkg/lease/settling_test.go
+++ b/pkg/lease/settling_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -99,3 +100,51 @@
 		require.Less(t, lapsed.Sub(lastCall), 100*time.Millisecond)
 	})
 }
+
+// Guards against taking the end of a process for the end of its calls. A newer process on the VM proves only the former; a lease that was
+// freed, a session that has lapsed and an announced end prove both.
+func TestGrantSaysHowLongEarlierCallsMayArrive(t *testing.T) {
+	const atMost = lease.DefaultDuration/3 + lease.DefaultMargin
+	for name, c := range map[string]struct {
+		end   func(f *fleet, v *fleettest.VM)
+		until time.Duration
+	}{
+		"killed and back": {func(f *fleet, v *fleettest.VM) { f.Kill(v); f.Start(v.ID) }, atMost},
+		"killed":          {func(f *fleet, v *fleettest.VM) { f.Kill(v) }, 0},
+		"vanished":        {func(f *fleet, v *fleettest.VM) { f.Vanish(v) }, 0},
+		"end announced":   {func(f *fleet, v *fleettest.VM) { f.End(v) }, 0},
+		"freed": {func(f *fleet, v *fleettest.VM) {
+			ctx, cancel := context.WithTimeout(f.Ctx, 5*time.Second)
+			defer cancel()
+			require.NoError(f.t, v.Manager.Drain(ctx))
+			f.End(v)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			names := []string{"engines/a", "engines/b", "engines/c", "engines/d"}
+			runFleet(t, 10, 3, names, func(f *fleet) {
+				time.Sleep(30 * time.Second)
+				v := f.holder("engines/a", time.Second)
+				begun := time.Now()
+				c.end(f, v)
+				time.Sleep(10 * time.Second)
+				gained := 0
+				for _, other := range f.VMs() {
+					for _, grant := range other.Gains() {
+						if len(grant.Recent) == 0 || grant.Recent[0] != v.ID {
+							continue
+						}
+						gained++
+						if c.until == 0 {
+							require.Zero(t, grant.EarlierCallsUntil, grant.Name)
+							continue
+						}
+						require.GreaterOrEqual(t, grant.EarlierCallsUntil.Sub(begun), c.until, grant.Name)
+						require.Less(t, grant.EarlierCallsUntil.Sub(begun), 5*time.Second, grant.Name)
+					}
+				}
+				require.Positive(t, gained)
+			})
+		})
+	}
+}
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -133,7 +133,7 @@
 	event := eventAnswered
 	switch {
 	case beat.Status.Ended:
-		rec.ended = beat.Incarnation
+		rec.ended, rec.callsUntil = beat.Incarnation, rec.lastContact.Add(beat.Status.CallsFor)
 		if beat.Status.CallsFor > 0 {
 			event, rec.member.Draining = eventDrains, true
 			time.AfterFunc(beat.Status.CallsFor, func() { r.recordEnd(beat.ID, beat.Incarnation) })
--- a/pkg/membership/lookup.go
+++ b/pkg/membership/lookup.go
@@ -66,6 +66,15 @@
 	return rec.goneIncarnations[incarnation] || incarnation < rec.member.Incarnation
 }
 
+// EndAnnounced reports whether the given incarnation of the VM has announced its end, and its calls have ended by what it
+// announced.
+func (r *Registry) EndAnnounced(id, incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.records[id]
+	return rec != nil && rec.ended == incarnation && !time.Now().Before(rec.callsUntil)
+}
+
 // Claims returns the leases that the given incarnation of the VM last claimed. Claims are hints where
 // to look for a lease's holder; they prove nothing.
 func (r *Registry) Claims(id, incarnation string) []Claim {
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -26,8 +26,10 @@
 	answer             Reply
 	// goneIncarnations are the incarnations of the VM that are proven gone.
 	goneIncarnations map[string]bool
-	// ended is the last incarnation that has announced its end. Its heartbeats that arrive later are outdated.
-	ended string
+	// ended is the last incarnation that has announced its end. Its heartbeats that arrive later are outdated. callsUntil is the
+	// time until which its calls may still arrive.
+	ended      string
+	callsUntil time.Time
 	// beatInFlight says that a heartbeat to the VM has been sent and has not ended yet.
 	beatInFlight bool
 }
--- a/pkg/membership/registry_test.go
+++ b/pkg/membership/registry_test.go
@@ -114,11 +114,13 @@
 		p.b.AnnounceEnd(t.Context(), 2*time.Second)
 		p.kill("b")
 		require.False(t, p.a.Gone("b", "1"))
+		require.False(t, p.a.EndAnnounced("b", "1"))
 		require.Len(t, p.a.Live(), 1)
 		time.Sleep(1900 * time.Millisecond)
 		require.False(t, p.a.Gone("b", "1"))
 		time.Sleep(200 * time.Millisecond)
 		require.True(t, p.a.Gone("b", "1"))
+		require.True(t, p.a.EndAnnounced("b", "1"))
 	})
 }
 
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -156,15 +156,23 @@
 // holders, this VM among them, cannot arrive any more. If this VM may have held the lease earlier and another VM in between,
 // there must be a minimum gap between its old orders and its new ones. s.mu must be held.
 func (s *Service) earliestOrder(grant lease.Grant) time.Time {
+	earliest := grant.EarlierCallsUntil
 	last, held := s.lostAt[grant.Name]
 	if !held {
 		last, held = s.cfg.Started, grant.HistoryLost || slices.Contains(grant.Recent, s.cfg.Self)
 	}
 	inBetween := grant.Unrecorded || len(grant.Recent) > 0 && grant.Recent[0] != s.cfg.Self
 	if !held || !inBetween {
-		return time.Time{}
+		return earliest
 	}
-	return last.Add(s.cfg.MinOrderGap + orderGapMargin)
+	return later(earliest, last.Add(s.cfg.MinOrderGap+orderGapMargin))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // LeaseLost implements lease.Listener.
--- a/pkg/orders/settlement_model_test.go
+++ b/pkg/orders/settlement_model_test.go
@@ -172,6 +172,23 @@
 	})
 }
 
+// Guards against taking the end of a process for the end of its orders: a newer process on the VM proves only the former.
+func TestOrdersOfKilledVMsThatComeBackAtOnce(t *testing.T) {
+	network := func() *orderNetwork {
+		return &orderNetwork{maxDelay: 1200 * time.Millisecond, late: 0.3, lost: 0.1, slow: 0.1}
+	}
+	runOrderModel(t, network, func(f *orderFleet, rnd *rand.Rand) []string {
+		for range 12 {
+			v := f.pickRunning(rnd)
+			f.Kill(v)
+			time.Sleep(time.Duration(rnd.Int63n(int64(100 * time.Millisecond))))
+			f.Start(v.ID)
+			time.Sleep(time.Duration(rnd.Int63n(int64(8 * time.Second))))
+		}
+		return nil
+	})
+}
+
 // Guards against announcing the end of a process whose orders may still arrive: while the table is down, a successor takes its leases
 // over as soon as it is proven gone.
 func TestOrdersOfVMsThatStopWithoutTheTable(t *testing.T) {
--- a/pkg/orders/unsettled_test.go
+++ b/pkg/orders/unsettled_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mallowlink/mallowlink/pkg/engine"
+	"github.com/mallowlink/mallowlink/pkg/lease"
 	"github.com/mallowlink/mallowlink/pkg/upstream"
 )
 
@@ -179,3 +180,20 @@
 	}
 	return d.fakeEngines.Order(ctx, target, o)
 }
+
+// Guards against orders before those of an earlier holder have ended, whose end does not prove that, and against callers who wait for a
+// load that cannot be ordered yet.
+func TestOrdersWaitForEarlierHolders(t *testing.T) {
+	runWithFixture(t, func(f *fixture) {
+		until := time.Now().Add(1300 * time.Millisecond)
+		f.s.LeaseGained(lease.Grant{Name: LeaseOf(f.id.ID), Fencing: 7, Recent: []string{"vm2"}, EarlierCallsUntil: until})
+		time.Sleep(200 * time.Millisecond)
+		args := f.newArgs("a")
+		args.LoadBound = time.Millisecond
+		offered := f.acquire(args)
+		require.Equal(t, Offered, offered.Status)
+		require.Greater(t, offered.Delay, time.Until(until))
+		require.Equal(t, Granted, f.acquire(f.newArgs("a")).Status)
+		require.False(t, f.engines.receivedOrders()[0].at.Before(until))
+	})
+}
--- a/pkg/orders/worker.go
+++ b/pkg/orders/worker.go
@@ -499,7 +499,11 @@
 	if args.Adapter == "" && w.planner.Ready() {
 		return 0
 	}
-	return w.planner.Delay(key, now)
+	delay := w.planner.Delay(key, now)
+	if delay > 0 && now.Before(w.ordersFrom) {
+		delay += w.ordersFrom.Sub(now)
+	}
+	return delay
 }
 
 const (
