A lease that comes back waits for this VM's own earlier orders

Cause: the gap to a VM's own orders counted from when the lease was lost, not from when the last order could arrive; and without another holder in between there was no gap, although an order under the earlier fencing number could be under way. A process that started again counted from its start, although orders of the process before it may arrive later.

Change: the gap counts from the last arrival that is possible. Without another holder in between, orders wait for the earlier ones only.

Evidence: TestOrdersWaitForEarlierOrdersOfThisVM fails without the change in both cases.

--- a/pkg/lease/manager.go
+++ b/pkg/lease/manager.go
@@ -104,6 +104,12 @@
 	}
 }
 
+// CallsEndAfter returns how long calls of a process may still arrive after its end, for leases of the given duration with the default
+// limits.
+func CallsEndAfter(duration time.Duration) time.Duration {
+	return duration/callLimitShare + DefaultMargin
+}
+
 // Fleet is the part of membership.Registry that the manager uses.
 type Fleet interface {
 	Live() []membership.Member
--- a/pkg/orders/call.go
+++ b/pkg/orders/call.go
@@ -44,7 +44,7 @@
 	c := &orderCall{worker: w, action: a, order: s.unsettled.begin(w.lease, w.endpoint.ID), outcome: make(chan callOutcome, 1)}
 	grant, deadline, held := s.cfg.Leases.Callable(w.lease)
 	if !held {
-		s.unsettled.settle(c.order)
+		s.unsettled.settle(c.order, byNotSent)
 		return nil, false
 	}
 	c.order.fencing = grant.Fencing
@@ -94,7 +94,7 @@
 // settle removes the order from those that may still arrive, and logs what has shown that if it has taken long.
 func (c *orderCall) settle(by settlement) {
 	s, o := c.worker.service, c.order
-	s.unsettled.settle(o)
+	s.unsettled.settle(o, by)
 	took := time.Since(o.begunAt)
 	if took < lateSettlement {
 		return
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -156,16 +156,17 @@
 // holders, this VM among them, cannot arrive any more. If this VM may have held the lease earlier and another VM in between,
 // there must be a minimum gap between its old orders and its new ones. s.mu must be held.
 func (s *Service) earliestOrder(grant lease.Grant) time.Time {
-	earliest := grant.EarlierCallsUntil
+	arrived := s.unsettled.lastArrival(grant.Name)
+	earliest := later(grant.EarlierCallsUntil, arrived)
 	last, held := s.lostAt[grant.Name]
 	if !held {
-		last, held = s.cfg.Started, grant.HistoryLost || slices.Contains(grant.Recent, s.cfg.Self)
+		last, held = s.cfg.Started.Add(lease.CallsEndAfter(s.cfg.MinOrderGap)), grant.HistoryLost || slices.Contains(grant.Recent, s.cfg.Self)
 	}
 	inBetween := grant.Unrecorded || len(grant.Recent) > 0 && grant.Recent[0] != s.cfg.Self
 	if !held || !inBetween {
 		return earliest
 	}
-	return later(earliest, last.Add(s.cfg.MinOrderGap+orderGapMargin))
+	return later(earliest, later(last, arrived).Add(s.cfg.MinOrderGap+orderGapMargin))
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/orders/unsettled.go
+++ b/pkg/orders/unsettled.go
@@ -35,6 +35,8 @@
 // leaseOrders are the unsettled orders given under one lease.
 type leaseOrders struct {
 	orders map[*sentOrder]struct{}
+	// arrivedAt is the last time at which an order under the lease was settled that has arrived or may have.
+	arrivedAt time.Time
 	// settled is closed once there are no unsettled orders; nil if nothing waits for that.
 	settled chan struct{}
 }
@@ -59,11 +61,14 @@
 }
 
 // settle removes an order.
-func (u *unsettledOrders) settle(o *sentOrder) {
+func (u *unsettledOrders) settle(o *sentOrder, by settlement) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	l := u.leases[o.lease]
 	delete(l.orders, o)
+	if by != byNotSent {
+		l.arrivedAt = time.Now()
+	}
 	if len(l.orders) == 0 && l.settled != nil {
 		close(l.settled)
 		l.settled = nil
@@ -87,6 +92,23 @@
 	return l.settled
 }
 
+// lastArrival returns the latest time at which an order given under the lease so far may arrive, zero if none was given.
+func (u *unsettledOrders) lastArrival(lease string) time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	l := u.leases[lease]
+	if l == nil {
+		return time.Time{}
+	}
+	last := l.arrivedAt
+	for o := range l.orders {
+		if until := u.until(o); until.After(last) {
+			last = until
+		}
+	}
+	return last
+}
+
 // count returns the number of unsettled orders to an engine.
 func (u *unsettledOrders) count(lease, endpoint string) int {
 	u.mu.Lock()
--- a/pkg/orders/unsettled_test.go
+++ b/pkg/orders/unsettled_test.go
@@ -181,6 +181,33 @@
 	return d.fakeEngines.Order(ctx, target, o)
 }
 
+// Guards against orders of this VM that arrive after its own newer ones, or in turn with another VM's, when a lease comes back.
+func TestOrdersWaitForEarlierOrdersOfThisVM(t *testing.T) {
+	for name, c := range map[string]struct {
+		recent []string
+		wait   time.Duration
+	}{
+		"no other holder in between": {[]string{"vm1"}, 3 * time.Second},
+		"another VM in between":      {[]string{"vm2", "vm1"}, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withSlowEngines(t, func(f *fixture, engines *slowEngines) {
+				time.Sleep(10 * time.Second)
+				engines.set(time.Hour, nil)
+				given := time.Now()
+				f.order("a")
+				f.s.LeaseLost(LeaseOf(f.id.ID))
+				time.Sleep(500 * time.Millisecond)
+				engines.set(0, nil)
+				before := len(f.engines.receivedOrders())
+				f.s.LeaseGained(lease.Grant{Name: LeaseOf(f.id.ID), Fencing: 9, Recent: c.recent})
+				require.Equal(t, Granted, f.acquire(f.newArgs("b")).Status)
+				require.GreaterOrEqual(t, f.engines.receivedOrders()[before].at.Sub(given), c.wait)
+			})
+		})
+	}
+}
+
 // Guards against orders before those of an earlier holder have ended, whose end does not prove that, and against callers who wait for a
 // load that cannot be ordered yet.
 func TestOrdersWaitForEarlierHolders(t *testing.T) {
