--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -15,8 +16,9 @@
 	refuse bool
 	// silent passes nothing on, in either direction; halfSilent nothing towards the server.
 	silent, halfSilent bool
-	// delay holds each piece up.
+	// delay holds each piece up. lost is the share of the pieces towards the server that arrive with their retransmission only.
 	delay time.Duration
+	lost  float64
 }
 
 // proxy passes connections on to a server, with the faults of the network between.
@@ -142,6 +144,9 @@
 		n, err := from.Read(buffer)
 		w := p.now()
 		time.Sleep(w.delay)
+		if towardsServer && rand.Float64() < w.lost {
+			time.Sleep(retransmission)
+		}
 		lost := w.silent || w.halfSilent && towardsServer
 		if lost {
 			// A silent connection stays so: bytes that come later must not follow those that were lost.
