--- a/pkg/gatewayd/process.go
+++ b/pkg/gatewayd/process.go
@@ -237,8 +237,8 @@
 	}
 }
 
-// announceEnd tells the other VMs that this process sends nothing more, and for how long its orders may still arrive. Without that
-// they would have to treat it like one that does not respond but may still run.
+// announceEnd announces to the other VMs that this process sends nothing more, and for how long its orders may still arrive. Without
+// that they would have to treat it like one that does not respond but may still run.
 func (p *process) announceEnd() {
 	ctx, cancel := context.WithTimeout(context.Background(), endAnnouncementTimeout)
 	defer cancel()
