--- a/pkg/orders/call.go
+++ b/pkg/orders/call.go
@@ -58,8 +58,8 @@
 		Adapter:  a.Adapter,
 		Evict:    a.Kind == residency.Evict || a.Kind == residency.ConfirmEvict,
 		BeforeSend: func() error {
-			now, _, held := s.cfg.Leases.Callable(w.lease)
-			if !held || now.Fencing != grant.Fencing {
+			current, _, held := s.cfg.Leases.Callable(w.lease)
+			if !held || current.Fencing != grant.Fencing {
 				c.leaseEnded.Store(true)
 				return errLeaseEnded
 			}
--- a/pkg/orders/service.go
+++ b/pkg/orders/service.go
@@ -187,6 +187,7 @@
 	delete(s.leases, name)
 	if settling {
 		s.settling[name] = true
+		// Listeners must not block: other leases would wait.
 		go func() {
 			<-settled
 			s.mu.Lock()
